--- /dev/null
+++ b/include/bronzebarrow/base/address.h
@@ -0,0 +1,28 @@
+// A numeric IP address and port.
+#ifndef BRONZEBARROW_BASE_ADDRESS_H_
+#define BRONZEBARROW_BASE_ADDRESS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "bronzebarrow/base/failure.h"
+
+namespace bronzebarrow {
+
+struct Address {
+  std::string m_host;
+  std::uint16_t m_port = 0;
+
+  auto operator<=>(const Address&) const = default;
+
+  /** @return "host:port". */
+  std::string Text() const;
+
+  /** Parses "host:port" with a numeric IPv4 host. */
+  static Result<Address> Parse(const std::string& text);
+};
+
+}  // namespace bronzebarrow
+
+#endif  // BRONZEBARROW_BASE_ADDRESS_H_
--- /dev/null
+++ b/include/bronzebarrow/base/event_log.h
@@ -0,0 +1,105 @@
+// Structured log: one event a line, fields as key=value.
+#ifndef BRONZEBARROW_BASE_EVENT_LOG_H_
+#define BRONZEBARROW_BASE_EVENT_LOG_H_
+
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "bronzebarrow/base/enum_names.h"
+#include "bronzebarrow/base/failure.h"
+
+namespace bronzebarrow {
+
+enum class Event {
+  kProcessStarted,
+  kProcessStopping,
+  kProcessStopped,
+  kSettingsRefused,
+  kRoleChanged,
+  kMembershipChanged,
+  kSnapshotWritten,
+  kSnapshotInstalled,
+  kLogRecovered,
+  kLogTailCut,
+  kLeaseGained,
+  kLeaseLost,
+  kConfigInForce,
+  kChangeCommitted,
+  kChangeAccepted,
+  kChangeRefused,
+  kStopAnnounced,
+  kStopReleased,
+  kStopEnded,
+  kStopRefused,
+  kWaveStarted,
+  kWaveUpdated,
+  kInstanceObserved,
+  kTargetAdded,
+  kTargetLeaving,
+  kTargetRemoved,
+  kPeerConnected,
+  kPeerDisconnected,
+  kFrameRefused,
+  kRequestRefused,
+  kRequestUnknown,
+  kAnnouncementRefused,
+  kRecordRefused,
+  kDrillReport,
+};
+
+template <>
+struct EnumNames<Event> {
+  static constexpr std::array<std::string_view, 34> kNames = {
+      "process_started",     "process_stopping",   "process_stopped",
+      "settings_refused",    "role_changed",       "membership_changed",
+      "snapshot_written",    "snapshot_installed", "log_recovered",
+      "log_tail_cut",        "lease_gained",       "lease_lost",
+      "config_in_force",     "change_committed",   "change_accepted",
+      "change_refused",      "stop_announced",     "stop_released",
+      "stop_ended",          "stop_refused",       "wave_started",
+      "wave_updated",        "instance_observed",  "target_added",
+      "target_leaving",      "target_removed",     "peer_connected",
+      "peer_disconnected",   "frame_refused",      "request_refused",
+      "request_unknown",     "announcement_refused", "record_refused",
+      "drill_report",
+  };
+};
+
+enum class Severity { kInfo, kWarning, kError };
+
+/**
+ * Builds one log line and writes it when destroyed:
+ * `EventLine(Event::kLeaseLost).Field("entry", name);`
+ */
+class EventLine {
+ public:
+  explicit EventLine(Event event, Severity severity = Severity::kInfo);
+  EventLine(const EventLine&) = delete;
+  EventLine& operator=(const EventLine&) = delete;
+  ~EventLine();
+
+  /** Appends key=value; a value with spaces or quotes is quoted. */
+  template <typename Value>
+  EventLine& Field(std::string_view key, const Value& value) {
+    std::ostringstream text;
+    text << value;
+    Append(key, text.str());
+    return *this;
+  }
+
+  EventLine& Field(std::string_view key, ErrorCode code);
+
+ private:
+  void Append(std::string_view key, const std::string& value);
+
+  Severity m_severity;
+  std::string m_line;
+};
+
+/** Prepares the log of a program: to standard error, one line an event. */
+void StartLog(const char* program);
+
+}  // namespace bronzebarrow
+
+#endif  // BRONZEBARROW_BASE_EVENT_LOG_H_
--- /dev/null
+++ b/include/bronzebarrow/wire/codec.h
@@ -0,0 +1,42 @@
+// Encoding and verified decoding of FlatBuffers tables.
+#ifndef BRONZEBARROW_WIRE_CODEC_H_
+#define BRONZEBARROW_WIRE_CODEC_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "wire_generated.h"
+
+namespace bronzebarrow::wire {
+
+/** Bounds on a decoded table, against hostile or damaged input. */
+constexpr unsigned kMaxTableDepth = 16;
+constexpr unsigned kMaxTables = 4'000'000;
+
+/** @return the bytes of `Table` built from its object form. */
+template <typename Table>
+std::vector<std::uint8_t> Encode(const typename Table::NativeTableType& value) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(Table::Pack(builder, &value));
+  const auto* const data = builder.GetBufferPointer();
+  return {data, data + builder.GetSize()};
+}
+
+/** @return the object form, or null when the bytes fail verification. */
+template <typename Table>
+std::unique_ptr<typename Table::NativeTableType> Decode(
+    std::span<const std::uint8_t> bytes) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size(), kMaxTableDepth,
+                                 kMaxTables);
+  if (!verifier.VerifyBuffer<Table>(nullptr)) {
+    return nullptr;
+  }
+  const auto* const table = flatbuffers::GetRoot<Table>(bytes.data());
+  return std::unique_ptr<typename Table::NativeTableType>(table->UnPack());
+}
+
+}  // namespace bronzebarrow::wire
+
+#endif  // BRONZEBARROW_WIRE_CODEC_H_
--- /dev/null
+++ b/src/consensus/log_store.cc
@@ -0,0 +1,303 @@
+// Log store: recovery, appends and the rewrite on a new snapshot.
+#include "bronzebarrow/consensus/log_store.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <utility>
+#include <vector>
+
+#include "bronzebarrow/base/time.h"
+#include "bronzebarrow/wire/codec.h"
+#include "consensus/file.h"
+#include "consensus/record.h"
+
+namespace bronzebarrow::consensus {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char* kLockName = "lock";
+constexpr const char* kIdentityName = "identity";
+constexpr const char* kLogPrefix = "log-";
+constexpr const char* kSnapshotPrefix = "snapshot-";
+constexpr std::uint64_t kFoundingGeneration = 1;
+constexpr std::size_t kNumberWidth = 20;
+
+std::string NumberedName(const char* prefix, std::uint64_t number) {
+  std::string digits = std::to_string(number);
+  digits.insert(0, kNumberWidth - digits.size(), '0');
+  return prefix + digits;
+}
+
+std::vector<std::string> FilesOf(const std::string& folder) {
+  std::vector<std::string> names;
+  std::error_code error;
+  for (const auto& item : fs::directory_iterator(folder, error)) {
+    names.push_back(item.path().filename().string());
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<std::string> FilesWithPrefix(const std::string& folder,
+                                         const std::string& prefix) {
+  std::vector<std::string> names = FilesOf(folder);
+  std::erase_if(names, [&](const std::string& name) {
+    return !name.starts_with(prefix) || name.ends_with(".tmp");
+  });
+  return names;
+}
+
+bool IsEmptyFolder(const std::string& folder) {
+  const std::vector<std::string> names = FilesOf(folder);
+  return std::all_of(names.begin(), names.end(), [](const std::string& name) {
+    return name == kLockName || name.ends_with(".tmp");
+  });
+}
+
+Result<int> LockFolder(const std::string& folder) {
+  std::error_code error;
+  fs::create_directories(folder, error);
+  const std::string path = folder + "/" + kLockName;
+  const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  if (file < 0) {
+    return Fail(ErrorCode::kDataFolderUnusable,
+                path + ": " + std::strerror(errno));
+  }
+  if (::flock(file, LOCK_EX | LOCK_NB) != 0) {
+    ::close(file);
+    return Fail(ErrorCode::kDataFolderInUse, folder);
+  }
+  return file;
+}
+
+Result<void> WriteIdentity(const std::string& folder, const ReplicaId& id) {
+  wire::MemberT identity;
+  identity.name = id.m_name;
+  identity.generation = id.m_generation;
+  const Bytes record = SealRecord(wire::Encode<wire::Member>(identity));
+  return WriteFileAtomically(folder, kIdentityName, record);
+}
+
+Result<ReplicaId> ReadIdentity(const std::string& folder,
+                               const std::string& name) {
+  const std::string path = folder + "/" + kIdentityName;
+  if (!fs::exists(path)) {
+    return Fail(ErrorCode::kDataFolderForeign,
+                folder + ": holds files but no identity");
+  }
+  BOOST_LEAF_AUTO(bytes, ReadBytes(path));
+  const auto payload = OpenRecord(bytes);
+  const auto identity =
+      payload ? wire::Decode<wire::Member>(*payload) : nullptr;
+  if (!identity) {
+    return Fail(ErrorCode::kLogDamaged, path);
+  }
+  if (identity->name != name) {
+    return Fail(ErrorCode::kDataFolderForeign,
+                folder + ": belongs to \"" + identity->name + "\"");
+  }
+  return ReplicaId{identity->name, identity->generation};
+}
+
+Result<void> WriteFirstLog(const std::string& folder,
+                           const Membership& membership) {
+  wire::DurableBatchT batch;
+  batch.base_membership =
+      std::make_unique<wire::MembershipT>(membership.ToWire());
+  batch.hard_state = std::make_unique<wire::HardStateT>();
+  const Bytes record = SealRecord(wire::Encode<wire::DurableBatch>(batch));
+  return WriteFileAtomically(folder, NumberedName(kLogPrefix, 1), record);
+}
+
+void ReplayBatch(wire::DurableBatchT& batch, DurableState& state) {
+  if (batch.base_membership) {
+    state.m_base_index = batch.base_index;
+    state.m_base_term = batch.base_term;
+    state.m_base_membership = Membership::FromWire(*batch.base_membership);
+  }
+  if (batch.hard_state) {
+    state.m_hard_state = *batch.hard_state;
+  }
+  if (batch.truncate_from != 0) {
+    while (!state.m_entries.empty() &&
+           state.m_entries.back().index >= batch.truncate_from) {
+      state.m_entries.pop_back();
+    }
+  }
+  for (auto& entry : batch.entries) {
+    state.m_entries.push_back(std::move(*entry));
+  }
+}
+
+bool IsConsecutive(const DurableState& state) {
+  std::uint64_t expected = state.m_base_index;
+  return std::all_of(state.m_entries.begin(), state.m_entries.end(),
+                     [&](const wire::LogEntryT& entry) {
+                       return entry.index == ++expected;
+                     });
+}
+
+}  // namespace
+
+Result<void> LogStore::Initialize(const std::string& folder,
+                                  const std::string& name,
+                                  const Membership& founders) {
+  BOOST_LEAF_AUTO(lock, LockFolder(folder));
+  ::close(lock);
+  if (!IsEmptyFolder(folder)) {
+    return Fail(ErrorCode::kDataFolderNotEmpty, folder);
+  }
+  BOOST_LEAF_CHECK(WriteFirstLog(folder, founders));
+  return WriteIdentity(folder, {name, kFoundingGeneration});
+}
+
+Result<std::unique_ptr<LogStore>> LogStore::Open(const std::string& folder,
+                                                 const std::string& name) {
+  std::unique_ptr<LogStore> store(new LogStore());
+  store->m_folder = folder;
+  BOOST_LEAF_AUTO(lock, LockFolder(folder));
+  store->m_lock = lock;
+  if (IsEmptyFolder(folder)) {
+    BOOST_LEAF_CHECK(WriteFirstLog(folder, Membership()));
+    BOOST_LEAF_CHECK(WriteIdentity(folder, {name, WallMillis()}));
+    store->m_recovered.m_is_new = true;
+  }
+  BOOST_LEAF_CHECK(store->Recover(name));
+  return store;
+}
+
+LogStore::~LogStore() {
+  if (m_log >= 0) {
+    ::close(m_log);
+  }
+  if (m_lock >= 0) {
+    ::close(m_lock);
+  }
+}
+
+Result<void> LogStore::Recover(const std::string& name) {
+  BOOST_LEAF_AUTO(id, ReadIdentity(m_folder, name));
+  m_recovered.m_id = id;
+  BOOST_LEAF_CHECK(RecoverLog());
+  return RecoverSnapshot();
+}
+
+Result<void> LogStore::RecoverLog() {
+  const auto logs = FilesWithPrefix(m_folder, kLogPrefix);
+  if (logs.empty()) {
+    return Fail(ErrorCode::kLogDamaged, m_folder + ": no log file");
+  }
+  const std::string path = m_folder + "/" + logs.back();
+  m_log_sequence = std::stoull(logs.back().substr(std::strlen(kLogPrefix)));
+  BOOST_LEAF_AUTO(bytes, ReadBytes(path));
+  ByteView rest(bytes);
+  while (!rest.empty()) {
+    const auto payload = OpenRecord(rest);
+    const auto batch =
+        payload ? wire::Decode<wire::DurableBatch>(*payload) : nullptr;
+    if (!batch) {
+      break;
+    }
+    ReplayBatch(*batch, m_recovered.m_state);
+    rest = rest.subspan(kRecordHeaderBytes + payload->size());
+  }
+  const std::size_t valid_bytes = bytes.size() - rest.size();
+  if (valid_bytes == 0 || HoldsValidRecord(rest) ||
+      !IsConsecutive(m_recovered.m_state)) {
+    return Fail(ErrorCode::kLogDamaged,
+                path + " at byte " + std::to_string(valid_bytes));
+  }
+  m_log = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+  if (m_log < 0 || ::ftruncate(m_log, static_cast<off_t>(valid_bytes)) != 0 ||
+      ::lseek(m_log, 0, SEEK_END) < 0) {
+    return Fail(ErrorCode::kDataFolderUnusable,
+                path + ": " + std::strerror(errno));
+  }
+  m_recovered.m_cut_bytes = rest.size();
+  m_log_bytes = valid_bytes;
+  return SyncData(m_log, path);
+}
+
+Result<void> LogStore::RecoverSnapshot() {
+  DurableState& state = m_recovered.m_state;
+  const std::uint64_t last = state.m_base_index + state.m_entries.size();
+  auto snapshots = FilesWithPrefix(m_folder, kSnapshotPrefix);
+  std::reverse(snapshots.begin(), snapshots.end());
+  for (const std::string& name : snapshots) {
+    const std::uint64_t index =
+        std::stoull(name.substr(std::strlen(kSnapshotPrefix)));
+    if (index > last || index < state.m_base_index) {
+      continue;
+    }
+    const std::string path = m_folder + "/" + name;
+    BOOST_LEAF_AUTO(bytes, ReadBytes(path));
+    const auto payload = OpenRecord(bytes);
+    auto snapshot =
+        payload ? wire::Decode<wire::SnapshotFile>(*payload) : nullptr;
+    if (!snapshot || !snapshot->membership) {
+      return Fail(ErrorCode::kLogDamaged, path);
+    }
+    state.m_snapshot = std::move(snapshot);
+    return {};
+  }
+  if (state.m_base_index != 0) {
+    return Fail(ErrorCode::kLogDamaged, m_folder + ": the snapshot is missing");
+  }
+  return {};
+}
+
+Result<void> LogStore::Write(const DurableBatchOut& batch) {
+  if (batch.m_snapshot) {
+    return Rewrite(batch);
+  }
+  const Bytes record =
+      SealRecord(wire::Encode<wire::DurableBatch>(batch.m_batch));
+  BOOST_LEAF_CHECK(WriteAll(m_log, record, m_folder));
+  m_log_bytes += record.size();
+  return SyncData(m_log, m_folder);
+}
+
+Result<void> LogStore::Rewrite(const DurableBatchOut& batch) {
+  const std::string snapshot_name =
+      NumberedName(kSnapshotPrefix, batch.m_snapshot->last_index);
+  const Bytes image =
+      SealRecord(wire::Encode<wire::SnapshotFile>(*batch.m_snapshot));
+  BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, snapshot_name, image));
+
+  const std::string log_name = NumberedName(kLogPrefix, ++m_log_sequence);
+  const std::string log_path = m_folder + "/" + log_name;
+  const Bytes record =
+      SealRecord(wire::Encode<wire::DurableBatch>(batch.m_batch));
+  BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, log_name, record));
+  ::close(m_log);
+  m_log = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (m_log < 0) {
+    return Fail(ErrorCode::kDiskWriteFailed,
+                log_path + ": " + std::strerror(errno));
+  }
+  m_log_bytes = record.size();
+  return RemoveObsolete(log_name, snapshot_name);
+}
+
+Result<void> LogStore::RemoveObsolete(const std::string& log_name,
+                                      const std::string& snapshot_name) {
+  for (const std::string& name : FilesOf(m_folder)) {
+    const bool obsolete_log = name.starts_with(kLogPrefix) && name != log_name;
+    const bool obsolete_snapshot =
+        name.starts_with(kSnapshotPrefix) && name != snapshot_name;
+    if (obsolete_log || obsolete_snapshot) {
+      std::error_code error;
+      fs::remove(m_folder + "/" + name, error);
+    }
+  }
+  return SyncFolder(m_folder);
+}
+
+}  // namespace bronzebarrow::consensus
--- /dev/null
+++ b/src/consensus/replica_election.cc
@@ -0,0 +1,179 @@
+// Replica: terms, votes and the change of leaders.
+#include <algorithm>
+
+#include "bronzebarrow/base/check.h"
+#include "bronzebarrow/consensus/replica.h"
+#include "consensus/replica_messages.h"
+
+namespace bronzebarrow::consensus {
+
+void Replica::AdoptTerm(std::uint64_t term, Instant now) {
+  if (term <= m_term) {
+    return;
+  }
+  m_term = term;
+  m_vote.reset();
+  m_leader.reset();
+  m_hard_dirty = true;
+  if (m_role.Process(RoleEvent::kSteppedDown)) {
+    ResetElectionDeadline(now);
+  }
+}
+
+void Replica::FollowLeader(const ReplicaId& leader, Instant now) {
+  BRONZEBARROW_INVARIANT(role() != Role::kLeader);
+  BRONZEBARROW_INVARIANT(!m_leader || *m_leader == leader);
+  m_role.Process(RoleEvent::kSteppedDown);
+  m_leader = leader;
+  m_leader_heard = now;
+  m_leader_ever_heard = true;
+  ResetElectionDeadline(now);
+}
+
+void Replica::ResetElectionDeadline(Instant now) {
+  const auto base = m_options.m_election_timeout.count();
+  std::uniform_int_distribution<Duration::rep> jitter(0, base - 1);
+  m_election_deadline = now + Duration(base + jitter(m_random));
+}
+
+void Replica::StartPreVote(Instant now) {
+  if (!m_role.Process(RoleEvent::kElectionTimeout)) {
+    return;
+  }
+  m_leader.reset();
+  ResetElectionDeadline(now);
+  m_votes = {id()};
+  BroadcastVoteRequest(m_term + 1, true);
+  CheckVotes(now);
+}
+
+void Replica::StartElection(Instant now) {
+  if (!m_role.Process(RoleEvent::kPreVoteWon)) {
+    return;
+  }
+  ++m_term;
+  m_vote = id();
+  m_leader.reset();
+  m_hard_dirty = true;
+  m_votes = {id()};
+  ResetElectionDeadline(now);
+  BroadcastVoteRequest(m_term, false);
+}
+
+void Replica::BroadcastVoteRequest(std::uint64_t term, bool pre_vote) {
+  wire::VoteRequestT request;
+  request.term = term;
+  request.pre_vote = pre_vote;
+  request.last_index = last_index();
+  request.last_term = LastTerm();
+  for (const Member& member : membership().members()) {
+    if (member.m_voter && member.m_id != id()) {
+      Gate(Make(member.m_id, request));
+    }
+  }
+}
+
+bool Replica::LogIsCurrent(std::uint64_t last_index_of_other,
+                           std::uint64_t last_term_of_other) const {
+  if (last_term_of_other != LastTerm()) {
+    return last_term_of_other > LastTerm();
+  }
+  return last_index_of_other >= last_index();
+}
+
+void Replica::OnVoteRequest(const ReplicaId& from,
+                            const wire::VoteRequestT& request, Instant now) {
+  const bool leader_is_alive =
+      role() == Role::kLeader ||
+      (m_leader && m_leader_ever_heard &&
+       now < m_leader_heard + m_options.m_election_timeout);
+  if (leader_is_alive && request.term > m_term) {
+    return;
+  }
+  if (!request.pre_vote) {
+    AdoptTerm(request.term, now);
+  }
+  wire::VoteReplyT reply;
+  reply.pre_vote = request.pre_vote;
+  reply.term = m_term;
+  const bool current = LogIsCurrent(request.last_index, request.last_term);
+  if (request.pre_vote) {
+    reply.granted = request.term > m_term && current;
+    reply.term = reply.granted ? request.term : m_term;
+  } else if (request.term == m_term && current &&
+             (!m_vote || *m_vote == from)) {
+    reply.granted = true;
+    if (!m_vote) {
+      m_vote = from;
+      m_hard_dirty = true;
+      ResetElectionDeadline(now);
+    }
+  }
+  Gate(Make(from, reply));
+}
+
+void Replica::OnVoteReply(const ReplicaId& from, const wire::VoteReplyT& reply,
+                          Instant now) {
+  if (!reply.granted) {
+    AdoptTerm(reply.term, now);
+    return;
+  }
+  const bool expected =
+      (reply.pre_vote && role() == Role::kPreCandidate &&
+       reply.term == m_term + 1) ||
+      (!reply.pre_vote && role() == Role::kCandidate && reply.term == m_term);
+  if (expected && membership().IsVoter(from)) {
+    m_votes.insert(from);
+    CheckVotes(now);
+  }
+}
+
+void Replica::CheckVotes(Instant now) {
+  const auto votes = static_cast<std::size_t>(
+      std::count_if(m_votes.begin(), m_votes.end(), [&](const ReplicaId& id) {
+        return membership().IsVoter(id);
+      }));
+  if (votes < membership().Quorum()) {
+    return;
+  }
+  if (role() == Role::kPreCandidate) {
+    StartElection(now);
+  } else if (role() == Role::kCandidate && !m_hard_dirty && !m_in_flight) {
+    BecomeLeader(now);
+  }
+}
+
+void Replica::BecomeLeader(Instant now) {
+  if (!m_role.Process(RoleEvent::kVoteWon)) {
+    return;
+  }
+  m_leader = id();
+  m_progress.clear();
+  m_proven_round = m_round;
+  m_proof_wanted = false;
+  for (const Member& member : membership().members()) {
+    if (member.m_id != id()) {
+      Progress& progress = m_progress[member.m_id];
+      progress.m_next = last_index() + 1;
+      progress.m_last_ack = now;
+    }
+  }
+  m_term_start = AppendLocal(wire::EntryKind::Noop, {}).m_index;
+  StartRound(now);
+}
+
+void Replica::CheckQuorumContact(Instant now) {
+  std::size_t heard = 1;
+  for (const auto& [peer, progress] : m_progress) {
+    const bool recent =
+        now < progress.m_last_ack + 2 * m_options.m_election_timeout;
+    heard += recent && membership().IsVoter(peer) ? 1 : 0;
+  }
+  if (heard < membership().Quorum()) {
+    m_role.Process(RoleEvent::kSteppedDown);
+    m_leader.reset();
+    ResetElectionDeadline(now);
+  }
+}
+
+}  // namespace bronzebarrow::consensus
--- /dev/null
+++ b/src/consensus/replica_membership.cc
@@ -0,0 +1,85 @@
+// Replica: joining, learning and single-step changes of the membership.
+#include <utility>
+
+#include "bronzebarrow/base/check.h"
+#include "bronzebarrow/consensus/replica.h"
+#include "consensus/replica_messages.h"
+#include "bronzebarrow/wire/codec.h"
+
+namespace bronzebarrow::consensus {
+
+void Replica::SendJoinRequests() {
+  for (const std::string& peer : m_options.m_peers) {
+    m_messages.push_back(Make(ReplicaId{peer, 0}, wire::JoinRequestT()));
+  }
+}
+
+void Replica::OnJoinRequest(const ReplicaId& from, Instant) {
+  const bool can_change = IsReadyLeader() && MembershipSettled();
+  if (!can_change || membership().Contains(from)) {
+    return;
+  }
+  const auto namesake = membership().FindName(from.m_name);
+  if (!namesake) {
+    ProposeMembership(membership().WithLearner(from));
+  } else if (namesake->m_id.m_generation < from.m_generation) {
+    ProposeMembership(membership().Without(from.m_name));
+  }
+}
+
+void Replica::ProposeMembership(const Membership& membership) {
+  AppendLocal(wire::EntryKind::Membership,
+              wire::Encode<wire::Membership>(membership.ToWire()));
+}
+
+bool Replica::MembershipSettled() const {
+  return m_memberships.back().first <= m_commit;
+}
+
+void Replica::PromoteCaughtUpLearner() {
+  if (!IsReadyLeader() || !MembershipSettled()) {
+    return;
+  }
+  for (const Member& member : membership().members()) {
+    const auto progress = m_progress.find(member.m_id);
+    if (!member.m_voter && progress != m_progress.end() &&
+        progress->second.m_match >= m_commit) {
+      ProposeMembership(membership().WithVoter(member.m_id));
+      return;
+    }
+  }
+}
+
+void Replica::ApplyMembershipEntry(const wire::LogEntryT& entry) {
+  if (entry.kind != wire::EntryKind::Membership) {
+    return;
+  }
+  const auto message = wire::Decode<wire::Membership>(entry.payload);
+  BRONZEBARROW_INVARIANT(message != nullptr);
+  m_memberships.emplace_back(entry.index, Membership::FromWire(*message));
+  if (role() == Role::kLeader) {
+    std::erase_if(m_progress, [&](const auto& item) {
+      return !membership().Contains(item.first);
+    });
+    for (const Member& member : membership().members()) {
+      if (member.m_id != id() && !m_progress.contains(member.m_id)) {
+        Progress& progress = m_progress[member.m_id];
+        progress.m_next = last_index();
+        progress.m_last_ack = m_next_heartbeat;
+      }
+    }
+    return;
+  }
+  RefreshVotingRole();
+}
+
+void Replica::RefreshVotingRole() {
+  const bool votes = membership().IsVoter(id());
+  if (votes) {
+    m_role.Process(RoleEvent::kBecameVoter);
+  } else if (role() != Role::kLeader || MembershipSettled()) {
+    m_role.Process(RoleEvent::kLostVote);
+  }
+}
+
+}  // namespace bronzebarrow::consensus
--- /dev/null
+++ b/tests/log_store_test.cc
@@ -0,0 +1,240 @@
+// The replica's files: recovery, torn and damaged logs, foreign folders.
+#include "bronzebarrow/consensus/log_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "scratch_folder.h"
+
+namespace bronzebarrow::consensus {
+namespace {
+
+using StorePtr = std::unique_ptr<LogStore>;
+
+class LogStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogStoreTest);
+  CPPUNIT_TEST(KeepsWhatWasWritten);
+  CPPUNIT_TEST(EmptyFolderBecomesNewGeneration);
+  CPPUNIT_TEST(RefusesToInitializeTwice);
+  CPPUNIT_TEST(RefusesForeignFolder);
+  CPPUNIT_TEST(RefusesFolderInUse);
+  CPPUNIT_TEST(CutsTornTail);
+  CPPUNIT_TEST(RefusesDamagedMiddle);
+  CPPUNIT_TEST(RewritesOnSnapshot);
+  CPPUNIT_TEST(RefusesDamagedSnapshot);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { m_scratch = std::make_unique<ScratchFolder>(); }
+  void tearDown() override { m_scratch.reset(); }
+
+  void KeepsWhatWasWritten() {
+    Found();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 3);
+      Write(*store, 4, 2);
+    }
+    StorePtr store = Open();
+    const DurableState& state = store->recovered().m_state;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, state.m_entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, state.m_hard_state.term);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         store->recovered().m_id.m_generation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, state.m_base_membership.VoterCount());
+  }
+
+  void EmptyFolderBecomesNewGeneration() {
+    StorePtr store = Open();
+    CPPUNIT_ASSERT(store->recovered().m_is_new);
+    CPPUNIT_ASSERT(store->recovered().m_id.m_generation > 1);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{0},
+        store->recovered().m_state.m_base_membership.VoterCount());
+  }
+
+  void RefusesToInitializeTwice() {
+    Found();
+    const auto again = Capture<bool>([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(LogStore::Initialize(Folder(), "a", Founders()));
+      return true;
+    });
+    AssertFailure(ErrorCode::kDataFolderNotEmpty, again);
+  }
+
+  void RefusesForeignFolder() {
+    Found();
+    AssertFailure(ErrorCode::kDataFolderForeign, TryOpen("b"));
+    std::filesystem::remove(Folder() + "/identity");
+    AssertFailure(ErrorCode::kDataFolderForeign, TryOpen("a"));
+  }
+
+  void RefusesFolderInUse() {
+    Found();
+    StorePtr store = Open();
+    AssertFailure(ErrorCode::kDataFolderInUse, TryOpen("a"));
+  }
+
+  void CutsTornTail() {
+    Found();
+    std::uint64_t whole = 0;
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 3);
+      whole = store->log_bytes();
+      Write(*store, 4, 2);
+    }
+    std::filesystem::resize_file(LogPath(), whole + 21);
+    StorePtr store = Open();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{21}, store->recovered().m_cut_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         store->recovered().m_state.m_entries.size());
+    Write(*store, 4, 1);
+    store.reset();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                         Open()->recovered().m_state.m_entries.size());
+  }
+
+  void RefusesDamagedMiddle() {
+    Found();
+    std::uint64_t first = 0;
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 3);
+      first = store->log_bytes();
+      Write(*store, 4, 2);
+    }
+    for (const std::uint64_t at : {first - 5, first - 60, std::uint64_t{3}}) {
+      FlipByte(LogPath(), at);
+      AssertFailure(ErrorCode::kLogDamaged, TryOpen("a"));
+      FlipByte(LogPath(), at);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5},
+                         Open()->recovered().m_state.m_entries.size());
+  }
+
+  void RewritesOnSnapshot() {
+    Found();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 5);
+      store->Write(SnapshotBatch());
+      Write(*store, 7, 1);
+    }
+    StorePtr store = Open();
+    const DurableState& state = store->recovered().m_state;
+    CPPUNIT_ASSERT(state.m_snapshot != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.m_snapshot->last_index);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, state.m_base_index);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, state.m_entries.size());
+  }
+
+  void RefusesDamagedSnapshot() {
+    Found();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 5);
+      store->Write(SnapshotBatch());
+    }
+    FlipByte(PathWithPrefix("snapshot-"), 40);
+    AssertFailure(ErrorCode::kLogDamaged, TryOpen("a"));
+  }
+
+ private:
+  static Membership Founders() {
+    return Membership({{{"a", 1}, true}, {{"b", 1}, true}, {{"c", 1}, true}});
+  }
+
+  static std::unique_ptr<wire::LogEntryT> Entry(std::uint64_t index) {
+    auto entry = std::make_unique<wire::LogEntryT>();
+    entry->index = index;
+    entry->term = 7;
+    entry->payload = {1, 2, 3};
+    return entry;
+  }
+
+  static void Write(LogStore& store, std::uint64_t first, int count) {
+    DurableBatchOut out;
+    out.m_batch.hard_state = std::make_unique<wire::HardStateT>();
+    out.m_batch.hard_state->term = 7;
+    for (int i = 0; i < count; ++i) {
+      out.m_batch.entries.push_back(
+          Entry(first + static_cast<std::uint64_t>(i)));
+    }
+    CPPUNIT_ASSERT(store.Write(out));
+  }
+
+  // A snapshot at 5 that keeps entries 5 and 6 behind base 4.
+  static DurableBatchOut SnapshotBatch() {
+    auto snapshot = std::make_shared<wire::SnapshotFileT>();
+    snapshot->last_index = 5;
+    snapshot->last_term = 7;
+    snapshot->membership =
+        std::make_unique<wire::MembershipT>(Founders().ToWire());
+    snapshot->data = std::vector<std::uint8_t>(100, 9);
+    DurableBatchOut out;
+    out.m_snapshot = snapshot;
+    out.m_batch.base_index = 4;
+    out.m_batch.base_term = 7;
+    out.m_batch.base_membership =
+        std::make_unique<wire::MembershipT>(Founders().ToWire());
+    out.m_batch.hard_state = std::make_unique<wire::HardStateT>();
+    out.m_batch.entries.push_back(Entry(5));
+    out.m_batch.entries.push_back(Entry(6));
+    return out;
+  }
+
+  void Found() {
+    CPPUNIT_ASSERT(LogStore::Initialize(Folder(), "a", Founders()));
+  }
+
+  std::variant<StorePtr, Failure> TryOpen(const std::string& name) {
+    return Capture<StorePtr>([&] { return LogStore::Open(Folder(), name); });
+  }
+
+  StorePtr Open() {
+    auto opened = TryOpen("a");
+    if (const auto* failure = std::get_if<Failure>(&opened)) {
+      CPPUNIT_FAIL(Describe(*failure));
+    }
+    return std::move(std::get<StorePtr>(opened));
+  }
+
+  template <typename T>
+  static void AssertFailure(ErrorCode code,
+                            const std::variant<T, Failure>& outcome) {
+    const auto* failure = std::get_if<Failure>(&outcome);
+    CPPUNIT_ASSERT(failure != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string(NameOf(code)),
+                         std::string(NameOf(failure->m_code)));
+  }
+
+  static void FlipByte(const std::string& path, std::uint64_t at) {
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekg(static_cast<std::streamoff>(at));
+    const char byte = static_cast<char>(file.get());
+    file.seekp(static_cast<std::streamoff>(at));
+    file.put(static_cast<char>(byte ^ 0x10));
+  }
+
+  std::string PathWithPrefix(const std::string& prefix) const {
+    for (const auto& item : std::filesystem::directory_iterator(Folder())) {
+      if (item.path().filename().string().starts_with(prefix)) {
+        return item.path().string();
+      }
+    }
+    return "";
+  }
+
+  std::string LogPath() const { return PathWithPrefix("log-"); }
+  std::string Folder() const { return m_scratch->path() + "/data"; }
+
+  std::unique_ptr<ScratchFolder> m_scratch;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogStoreTest);
+
+}  // namespace
+}  // namespace bronzebarrow::consensus
--- /dev/null
+++ b/tests/replica_test.cc
@@ -0,0 +1,219 @@
+// The consensus core in virtual time, over many seeds and faults.
+#include "bronzebarrow/consensus/replica.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fake_group.h"
+
+namespace bronzebarrow::consensus {
+namespace {
+
+constexpr std::uint64_t kSeeds = 2000;
+
+class ReplicaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaTest);
+  CPPUNIT_TEST(ElectsOneLeader);
+  CPPUNIT_TEST(CommitsAndReplicates);
+  CPPUNIT_TEST(FrozenLeaderCannotProveItselfAfterWaking);
+  CPPUNIT_TEST(LostDiskReturnsAsLearnerWithoutVote);
+  CPPUNIT_TEST(SingleReplicaCommitsAlone);
+  CPPUNIT_TEST(LaggingReplicaCatchesUpBySnapshot);
+  CPPUNIT_TEST(CutReplicaDoesNotDeposeLeader);
+  CPPUNIT_TEST(CommittedNeverChangesUnderFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ElectsOneLeader() {
+    FakeGroup group(3, 1);
+    CPPUNIT_ASSERT(
+        group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000)));
+  }
+
+  void CommitsAndReplicates() {
+    FakeGroup group(3, 2);
+    CPPUNIT_ASSERT(
+        group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000)));
+    for (int i = 0; i < 50; ++i) {
+      group.ProposeEverywhere();
+      group.Run(Millis(20));
+    }
+    const auto everywhere = [&] {
+      return group.AppliedIndex(0) > 50 &&
+             group.AppliedIndex(0) == group.AppliedIndex(1) &&
+             group.AppliedIndex(1) == group.AppliedIndex(2);
+    };
+    CPPUNIT_ASSERT(group.RunUntil(everywhere, Millis(5000)));
+    CPPUNIT_ASSERT_EQUAL(group.AppliedHash(0), group.AppliedHash(2));
+    CPPUNIT_ASSERT_EQUAL(std::string(), group.broken());
+  }
+
+  void FrozenLeaderCannotProveItselfAfterWaking() {
+    FakeGroup group(3, 3);
+    group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000));
+    const std::size_t old_leader = group.Leader().value();
+    group.Freeze(old_leader, true);
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.Leader().has_value(); },
+                                  Millis(10000)));
+    Replica* const woken = group.node(old_leader);
+    const auto round = woken->RequestProof();
+    group.Freeze(old_leader, false);
+    group.Run(Millis(3000));
+    CPPUNIT_ASSERT(round.has_value());
+    CPPUNIT_ASSERT(woken->proven_round() < *round ||
+                   woken->role() != Role::kLeader);
+    CPPUNIT_ASSERT(woken->role() != Role::kLeader);
+  }
+
+  void LostDiskReturnsAsLearnerWithoutVote() {
+    FakeGroup group(3, 4);
+    group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000));
+    const std::size_t lost = (group.Leader().value() + 1) % 3;
+    const ReplicaId old_id = group.node(lost)->id();
+    group.ProposeEverywhere();
+    group.LoseDisk(lost);
+    group.Restart(lost);
+    CPPUNIT_ASSERT(group.node(lost)->role() == Role::kLearner);
+    const auto replaced = [&] {
+      const auto leader = group.Leader();
+      return leader && group.node(*leader)->membership().IsVoter(
+                           group.node(lost)->id());
+    };
+    CPPUNIT_ASSERT(group.RunUntil(replaced, Millis(20000)));
+    const Membership& after = group.node(group.Leader().value())->membership();
+    CPPUNIT_ASSERT(!after.Contains(old_id));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, after.VoterCount());
+  }
+
+  void SingleReplicaCommitsAlone() {
+    FakeGroup group(1, 5);
+    CPPUNIT_ASSERT(
+        group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000)));
+    group.ProposeEverywhere();
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.AppliedIndex(0) >= 2; },
+                                  Millis(1000)));
+  }
+
+  void LaggingReplicaCatchesUpBySnapshot() {
+    FakeGroup group(3, 6);
+    group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000));
+    const std::size_t lagging = (group.Leader().value() + 1) % 3;
+    group.Crash(lagging);
+    for (int i = 0; i < 100; ++i) {
+      group.ProposeEverywhere();
+      group.Run(Millis(20));
+      group.CompactSometimes();
+    }
+    group.Restart(lagging);
+    const auto caught_up = [&] {
+      return group.AppliedIndex(lagging) > 100 &&
+             group.AppliedIndex(lagging) ==
+                 group.AppliedIndex((lagging + 1) % 3);
+    };
+    CPPUNIT_ASSERT(group.RunUntil(caught_up, Millis(10000)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), group.broken());
+  }
+
+  void CutReplicaDoesNotDeposeLeader() {
+    FakeGroup group(3, 7);
+    group.faults() = {0, 0, Millis(5), Millis(5)};
+    group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000));
+    const std::size_t leader = group.Leader().value();
+    const std::size_t cut = (leader + 1) % 3;
+    const std::uint64_t term = group.node(leader)->term();
+    SetCut(group, cut, true);
+    group.Run(Millis(20000));
+    SetCut(group, cut, false);
+    group.Run(Millis(3000));
+    CPPUNIT_ASSERT_EQUAL(term, group.node(leader)->term());
+    CPPUNIT_ASSERT(group.node(leader)->role() == Role::kLeader);
+  }
+
+  void CommittedNeverChangesUnderFaults() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      RunSeed(seed);
+    }
+  }
+
+ private:
+  static void SetCut(FakeGroup& group, std::size_t node, bool cut) {
+    for (std::size_t other = 0; other < group.size(); ++other) {
+      group.Cut(node, other, cut);
+      group.Cut(other, node, cut);
+    }
+  }
+
+  static void InjectFault(FakeGroup& group, bool& disk_lost) {
+    const std::size_t node = group.random()() % group.size();
+    switch (group.random()() % 9) {
+      case 0:
+        group.Crash(node);
+        break;
+      case 1:
+      case 2:
+        group.Restart(node);
+        break;
+      case 3:
+        group.Freeze(node, true);
+        break;
+      case 4:
+        group.Freeze(node, false);
+        break;
+      case 5:
+        group.Cut(node, group.random()() % group.size(), true);
+        break;
+      case 6:
+        SetCut(group, node, true);
+        break;
+      case 7:
+        SetCut(group, node, false);
+        break;
+      default:
+        // One disk a run: losing a majority of disks is beyond the design.
+        if (!disk_lost) {
+          disk_lost = true;
+          group.LoseDisk(node);
+          group.Restart(node);
+        }
+        break;
+    }
+  }
+
+  static void RunSeed(std::uint64_t seed) {
+    FakeGroup group(seed % 4 == 0 ? 5 : 3, seed);
+    bool disk_lost = false;
+    for (int step = 0; step < 60; ++step) {
+      group.Run(Millis(group.random()() % 150));
+      group.ProposeEverywhere();
+      if (group.random()() % 3 == 0) {
+        InjectFault(group, disk_lost);
+      }
+      if (group.random()() % 5 == 0) {
+        group.CompactSometimes();
+      }
+    }
+    group.HealAll();
+    group.faults() = {0, 0, Millis(5), Millis(5)};
+    const auto converged = [&] {
+      const auto leader = group.Leader();
+      if (!leader) {
+        return false;
+      }
+      const Membership& membership = group.node(*leader)->membership();
+      bool same = membership.VoterCount() == group.size();
+      for (std::size_t i = 0; i < group.size(); ++i) {
+        same = same && membership.IsVoter(group.node(i)->id()) &&
+               group.AppliedIndex(i) == group.AppliedIndex(*leader) &&
+               group.AppliedHash(i) == group.AppliedHash(*leader);
+      }
+      return same;
+    };
+    const std::string label = "seed " + std::to_string(seed);
+    CPPUNIT_ASSERT_MESSAGE(label, group.RunUntil(converged, Millis(30000)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::string(), group.broken());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaTest);
+
+}  // namespace
+}  // namespace bronzebarrow::consensus
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,18 @@
+// Runs every registered CppUnit suite; exits non-zero on a failure.
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <cppunit/ui/text/TestRunner.h>
+#include <glog/logging.h>
+
+#include <iostream>
+
+int main(int, char** argv) {
+  FLAGS_logtostderr = true;
+  FLAGS_minloglevel = google::GLOG_ERROR;
+  google::InitGoogleLogging(argv[0]);
+  CppUnit::TextUi::TestRunner runner;
+  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  runner.setOutputter(
+      new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
+  return runner.run() ? 0 : 1;
+}
