--- a/include/bronzebarrow/base/check.h
+++ b/include/bronzebarrow/base/check.h
@@ -13,11 +13,11 @@
 }  // namespace bronzebarrow
 
 /** Ends the process when an invariant of the program does not hold. */
-#define BRONZEBARROW_INVARIANT(expression)                               \
-  do {                                                                   \
-    if (!(expression)) {                                                 \
-      ::bronzebarrow::InvariantBroken(#expression, __FILE__, __LINE__);  \
-    }                                                                    \
+#define BRONZEBARROW_INVARIANT(expression)                              \
+  do {                                                                  \
+    if (!(expression)) {                                                \
+      ::bronzebarrow::InvariantBroken(#expression, __FILE__, __LINE__); \
+    }                                                                   \
   } while (false)
 
 #endif  // BRONZEBARROW_BASE_CHECK_H_
--- a/include/bronzebarrow/base/enum_names.h
+++ b/include/bronzebarrow/base/enum_names.h
@@ -21,9 +21,8 @@
 template <typename Enum>
 constexpr std::string_view NameOf(Enum value) {
   const auto index = static_cast<std::size_t>(value);
-  return index < EnumNames<Enum>::kNames.size()
-             ? EnumNames<Enum>::kNames[index]
-             : std::string_view("invalid");
+  return index < EnumNames<Enum>::kNames.size() ? EnumNames<Enum>::kNames[index]
+                                                : std::string_view("invalid");
 }
 
 /** @return the enumerator called `name`, or nothing. */
--- a/include/bronzebarrow/base/error_code.h
+++ b/include/bronzebarrow/base/error_code.h
@@ -36,6 +36,7 @@
   kFrameInvalid,
   kConnectionFailed,
   kAddressInvalid,
+  kAddressUnusable,
   // Change of the replicated state.
   kVersionConflict,
   kChangeIdReused,
@@ -78,7 +79,7 @@
 
 template <>
 struct EnumNames<ErrorCode> {
-  static constexpr std::array<std::string_view, 59> kNames = {
+  static constexpr std::array<std::string_view, 60> kNames = {
       "ok",
       "settings_unreadable",
       "settings_malformed",
@@ -102,6 +103,7 @@
       "frame_invalid",
       "connection_failed",
       "address_invalid",
+      "address_unusable",
       "version_conflict",
       "change_id_reused",
       "not_leader",
--- a/include/bronzebarrow/base/event_log.h
+++ b/include/bronzebarrow/base/event_log.h
@@ -51,17 +51,17 @@
 template <>
 struct EnumNames<Event> {
   static constexpr std::array<std::string_view, 34> kNames = {
-      "process_started",     "process_stopping",   "process_stopped",
-      "settings_refused",    "role_changed",       "membership_changed",
-      "snapshot_written",    "snapshot_installed", "log_recovered",
-      "log_tail_cut",        "lease_gained",       "lease_lost",
-      "config_in_force",     "change_committed",   "change_accepted",
-      "change_refused",      "stop_announced",     "stop_released",
-      "stop_ended",          "stop_refused",       "wave_started",
-      "wave_updated",        "instance_observed",  "target_added",
-      "target_leaving",      "target_removed",     "peer_connected",
-      "peer_disconnected",   "frame_refused",      "request_refused",
-      "request_unknown",     "announcement_refused", "record_refused",
+      "process_started",   "process_stopping",     "process_stopped",
+      "settings_refused",  "role_changed",         "membership_changed",
+      "snapshot_written",  "snapshot_installed",   "log_recovered",
+      "log_tail_cut",      "lease_gained",         "lease_lost",
+      "config_in_force",   "change_committed",     "change_accepted",
+      "change_refused",    "stop_announced",       "stop_released",
+      "stop_ended",        "stop_refused",         "wave_started",
+      "wave_updated",      "instance_observed",    "target_added",
+      "target_leaving",    "target_removed",       "peer_connected",
+      "peer_disconnected", "frame_refused",        "request_refused",
+      "request_unknown",   "announcement_refused", "record_refused",
       "drill_report",
   };
 };
--- a/include/bronzebarrow/base/failure.h
+++ b/include/bronzebarrow/base/failure.h
@@ -38,7 +38,9 @@
         return Outcome(std::move(value));
       },
       [](const Failure& failure) { return Outcome(failure); },
-      [] { return Outcome(Failure{ErrorCode::kInternal, ""}); });
+      [] {
+        return Outcome(Failure{ErrorCode::kInternal, ""});
+      });
 }
 
 /** @return "code: message (context)" for people. */
--- a/include/bronzebarrow/base/settings.h
+++ b/include/bronzebarrow/base/settings.h
@@ -17,8 +17,8 @@
 
 template <>
 struct EnumNames<SettingType> {
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "text", "integer", "address", "name"};
+  static constexpr std::array<std::string_view, 4> kNames = {"text", "integer",
+                                                             "address", "name"};
 };
 
 /**
--- a/include/bronzebarrow/base/time.h
+++ b/include/bronzebarrow/base/time.h
@@ -12,6 +12,9 @@
 using Duration = std::chrono::steady_clock::duration;
 using Millis = std::chrono::milliseconds;
 
+/** @return the current time; for shells only, never for decision cores. */
+inline Instant Now() { return std::chrono::steady_clock::now(); }
+
 /** @return wall-clock milliseconds since the Unix epoch. */
 inline std::uint64_t WallMillis() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -172,7 +172,7 @@
   std::uint64_t m_base_term = 0;
   SnapshotPtr m_snapshot;
   SnapshotPtr m_installed;
-  std::uint64_t m_commit = 0;     // Never decreases; entries up to it are fixed.
+  std::uint64_t m_commit = 0;  // Never decreases; entries up to it are fixed.
   std::uint64_t m_delivered = 0;  // <= min(m_commit, m_synced).
   // Memberships by the log index that set them; the first is the base's.
   std::vector<std::pair<std::uint64_t, Membership>> m_memberships;
--- /dev/null
+++ b/include/bronzebarrow/control.h
@@ -0,0 +1,8 @@
+// Public header of the control library: the replicated state and the leases.
+#ifndef BRONZEBARROW_CONTROL_H_
+#define BRONZEBARROW_CONTROL_H_
+
+#include "bronzebarrow/control/control_state.h"
+#include "bronzebarrow/control/lease_keeper.h"
+
+#endif  // BRONZEBARROW_CONTROL_H_
--- /dev/null
+++ b/include/bronzebarrow/fleet.h
@@ -0,0 +1,9 @@
+// Public header of the fleet library: plans, instances, stops and waves.
+#ifndef BRONZEBARROW_FLEET_H_
+#define BRONZEBARROW_FLEET_H_
+
+#include "bronzebarrow/fleet/fleet.h"
+#include "bronzebarrow/fleet/lifecycle.h"
+#include "bronzebarrow/fleet/lists.h"
+
+#endif  // BRONZEBARROW_FLEET_H_
--- /dev/null
+++ b/include/bronzebarrow/net.h
@@ -0,0 +1,12 @@
+// Public header of the net library: frames, HTTP server and target connections.
+#ifndef BRONZEBARROW_NET_H_
+#define BRONZEBARROW_NET_H_
+
+#include "bronzebarrow/net/acceptor.h"
+#include "bronzebarrow/net/frame_connection.h"
+#include "bronzebarrow/net/frame_dialer.h"
+#include "bronzebarrow/net/http_server.h"
+#include "bronzebarrow/net/target_pool.h"
+#include "bronzebarrow/net/traffic.h"
+
+#endif  // BRONZEBARROW_NET_H_
--- /dev/null
+++ b/include/bronzebarrow/net/acceptor.h
@@ -0,0 +1,40 @@
+// Accepts TCP connections on one address.
+#ifndef BRONZEBARROW_NET_ACCEPTOR_H_
+#define BRONZEBARROW_NET_ACCEPTOR_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <memory>
+
+#include "bronzebarrow/base/address.h"
+#include "bronzebarrow/base/failure.h"
+
+namespace bronzebarrow::net {
+
+class Acceptor {
+ public:
+  using OnSocket = std::function<void(boost::asio::ip::tcp::socket)>;
+
+  /** Binds and listens; `on_socket` is called for each new connection. */
+  static Result<std::shared_ptr<Acceptor>> Listen(
+      boost::asio::any_io_executor executor, const Address& address,
+      OnSocket on_socket);
+
+  Acceptor(boost::asio::any_io_executor executor, OnSocket on_socket);
+  void Close();
+  /** @return the bound port, also when port 0 was asked for. */
+  std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+ private:
+  void AcceptNext(const std::shared_ptr<Acceptor>& self);
+
+  boost::asio::any_io_executor m_executor;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  OnSocket m_on_socket;
+};
+
+}  // namespace bronzebarrow::net
+
+#endif  // BRONZEBARROW_NET_ACCEPTOR_H_
--- /dev/null
+++ b/include/bronzebarrow/net/frame_connection.h
@@ -0,0 +1,70 @@
+// Length-prefixed FlatBuffers frames over one TCP connection.
+#ifndef BRONZEBARROW_NET_FRAME_CONNECTION_H_
+#define BRONZEBARROW_NET_FRAME_CONNECTION_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "bronzebarrow/base/time.h"
+#include "wire_generated.h"
+
+namespace bronzebarrow::net {
+
+/** The largest frame accepted or sent, in bytes. */
+constexpr std::uint32_t kMaxFrameBytes = 64U << 20;
+/** Unsent bytes at which a connection is given up as stuck. */
+constexpr std::size_t kMaxQueuedBytes = 128U << 20;
+/** Time that sent bytes may stay unacknowledged by the peer's kernel. */
+constexpr Duration kUserTimeout = Millis(2000);
+
+/**
+ * One connection. Send may be called from any thread; frames arrive on the
+ * connection's own strand. Ends on any error, once.
+ */
+class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+  using OnFrame = std::function<void(const std::shared_ptr<FrameConnection>&,
+                                     std::unique_ptr<wire::FrameT>)>;
+  using OnClose = std::function<void(const std::shared_ptr<FrameConnection>&)>;
+
+  explicit FrameConnection(Socket socket);
+
+  /** Starts reading; `on_close` is called once, when the connection ended. */
+  void Start(OnFrame on_frame, OnClose on_close);
+  void Send(const wire::FrameT& frame);
+  void Close();
+
+  /** @return bytes received and sent so far, frames only. */
+  std::uint64_t bytes_received() const { return m_bytes_received; }
+
+ private:
+  boost::asio::awaitable<void> ReadLoop();
+  boost::asio::awaitable<void> WriteLoop();
+  boost::asio::awaitable<std::unique_ptr<wire::FrameT>> ReadFrame();
+  void CloseOnStrand();
+
+  Socket m_socket;
+  boost::asio::strand<boost::asio::any_io_executor> m_strand;
+  OnFrame m_on_frame;
+  OnClose m_on_close;
+  std::deque<std::shared_ptr<const std::vector<std::uint8_t>>> m_outbox;
+  std::size_t m_queued_bytes = 0;
+  bool m_writing = false;
+  bool m_closed = false;
+  std::uint64_t m_bytes_received = 0;
+};
+
+using FrameConnectionPtr = std::shared_ptr<FrameConnection>;
+
+}  // namespace bronzebarrow::net
+
+#endif  // BRONZEBARROW_NET_FRAME_CONNECTION_H_
--- /dev/null
+++ b/include/bronzebarrow/net/http_server.h
@@ -0,0 +1,72 @@
+// HTTP/1.1 server over Boost.Beast with bounded requests.
+#ifndef BRONZEBARROW_NET_HTTP_SERVER_H_
+#define BRONZEBARROW_NET_HTTP_SERVER_H_
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "bronzebarrow/base/address.h"
+#include "bronzebarrow/base/failure.h"
+#include "bronzebarrow/net/acceptor.h"
+
+namespace bronzebarrow::net {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+/** The largest header and body accepted, in bytes. */
+constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+constexpr std::size_t kMaxBodyBytes = 1 << 20;
+
+class HttpServer {
+ public:
+  using Handler = std::function<boost::asio::awaitable<HttpResponse>(
+      const HttpRequest& request)>;
+
+  /** Serves `handler`, which may be called from several threads at once. */
+  static Result<std::shared_ptr<HttpServer>> Listen(
+      boost::asio::any_io_executor executor, const Address& address,
+      Handler handler);
+
+  /** Stops accepting; answers from now on close their connection. */
+  void StopAccepting();
+  /** Closes every connection at once, also those being served. */
+  void CloseAll();
+  std::uint16_t port() const { return m_acceptor->port(); }
+  /** @return requests being handled. */
+  int active() const { return m_active; }
+
+ private:
+  static boost::asio::awaitable<void> Serve(
+      std::shared_ptr<HttpServer> self, boost::asio::ip::tcp::socket socket);
+
+  Handler m_handler;
+  std::shared_ptr<Acceptor> m_acceptor;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<int> m_active{0};
+  std::mutex m_mutex;  // Guards m_streams; a leaf lock.
+  std::list<std::shared_ptr<boost::beast::tcp_stream>> m_streams;
+};
+
+/** @return a response with a body of the given content type. */
+HttpResponse MakeResponse(boost::beast::http::status status,
+                          const char* content_type, std::string body);
+
+/** @return a JSON response naming a failure. */
+HttpResponse MakeErrorResponse(boost::beast::http::status status,
+                               ErrorCode code, const std::string& context);
+
+}  // namespace bronzebarrow::net
+
+#endif  // BRONZEBARROW_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/include/bronzebarrow/net/target_pool.h
@@ -0,0 +1,78 @@
+// Connections to targets: one request in flight on each, never reused after a
+// timeout, a failure or a half answer.
+#ifndef BRONZEBARROW_NET_TARGET_POOL_H_
+#define BRONZEBARROW_NET_TARGET_POOL_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "bronzebarrow/base/address.h"
+#include "bronzebarrow/base/time.h"
+#include "bronzebarrow/net/http_server.h"
+
+namespace bronzebarrow::net {
+
+/** An exclusive connection to a target; runs on its own strand. */
+class TargetConnection {
+ public:
+  explicit TargetConnection(const boost::asio::any_io_executor& executor)
+      : m_strand(boost::asio::make_strand(executor)), m_stream(m_strand) {}
+
+  boost::asio::strand<boost::asio::any_io_executor> m_strand;
+  boost::beast::tcp_stream m_stream;
+  Instant m_opened;
+};
+
+using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
+
+enum class ExchangeVerdict {
+  kAnswered,  // A whole answer was read.
+  kTimeout,   // Bytes left; no whole answer came in time.
+  kBroken,    // Bytes may have left; the connection failed.
+  kMalformed  // Bytes left; the answer was cut short or not HTTP.
+};
+
+struct ExchangeResult {
+  ExchangeVerdict m_verdict = ExchangeVerdict::kBroken;
+  HttpResponse m_response;  // When it was answered.
+};
+
+class TargetPool {
+ public:
+  explicit TargetPool(boost::asio::any_io_executor executor)
+      : m_executor(std::move(executor)) {}
+
+  /** @return an idle or new connection, or null; no byte of a request left. */
+  boost::asio::awaitable<TargetConnectionPtr> Acquire(Address address,
+                                                      Instant deadline);
+
+  /**
+   * Sends a request and reads its answer whole. The connection goes back to
+   * the idle ones only after a whole answer on a connection kept alive.
+   */
+  boost::asio::awaitable<ExchangeResult> Exchange(
+      TargetConnectionPtr connection, Address address, HttpRequest request,
+      Instant deadline);
+
+  /** Gives back a connection on which nothing was sent. */
+  void Release(const Address& address, TargetConnectionPtr connection);
+  /** Closes idle connections, e.g. siblings of one that went silent. */
+  void Retire(const Address& address);
+
+ private:
+  TargetConnectionPtr TakeIdle(const Address& address);
+
+  boost::asio::any_io_executor m_executor;
+  std::mutex m_mutex;  // Guards m_idle; a leaf lock.
+  std::map<Address, std::vector<TargetConnectionPtr>> m_idle;
+};
+
+}  // namespace bronzebarrow::net
+
+#endif  // BRONZEBARROW_NET_TARGET_POOL_H_
--- a/include/bronzebarrow/wire/codec.h
+++ b/include/bronzebarrow/wire/codec.h
@@ -15,6 +15,9 @@
 constexpr unsigned kMaxTableDepth = 16;
 constexpr unsigned kMaxTables = 4'000'000;
 
+/** Alignment in bytes that reading a table's scalars needs. */
+constexpr std::uintptr_t kTableAlignment = 8;
+
 /** @return the bytes of `Table` built from its object form. */
 template <typename Table>
 std::vector<std::uint8_t> Encode(const typename Table::NativeTableType& value) {
@@ -28,6 +31,11 @@
 template <typename Table>
 std::unique_ptr<typename Table::NativeTableType> Decode(
     std::span<const std::uint8_t> bytes) {
+  std::vector<std::uint8_t> aligned;
+  if (reinterpret_cast<std::uintptr_t>(bytes.data()) % kTableAlignment != 0) {
+    aligned.assign(bytes.begin(), bytes.end());
+    bytes = aligned;
+  }
   flatbuffers::Verifier verifier(bytes.data(), bytes.size(), kMaxTableDepth,
                                  kMaxTables);
   if (!verifier.VerifyBuffer<Table>(nullptr)) {
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is needed and builds everything into build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build
--- a/src/base/error_code.cc
+++ b/src/base/error_code.cc
@@ -29,6 +29,7 @@
         "a frame failed verification",
         "the connection failed",
         "the address is not host:port with a numeric host",
+        "the address cannot be listened on",
         "another change came first",
         "the change id was used with other content",
         "this member is not the leader",
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -2,6 +2,8 @@
 #include "bronzebarrow/base/metrics.h"
 
 #include <boost/histogram.hpp>
+#include <iomanip>
+#include <limits>
 #include <sstream>
 
 namespace bronzebarrow {
@@ -82,6 +84,7 @@
 std::string Metrics::Expose() const {
   const std::lock_guard lock(m_mutex);
   std::ostringstream out;
+  out << std::setprecision(std::numeric_limits<double>::max_digits10);
   for (const auto& [name, series] : m_tables->m_counters) {
     out << "# TYPE " << name << " counter\n";
     for (const auto& [labels, value] : series) {
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -53,8 +53,7 @@
 
 Result<void> CheckAddress(const SettingSpec&, const std::string& value,
                           const std::string& place) {
-  const auto parsed =
-      Capture<Address>([&] { return Address::Parse(value); });
+  const auto parsed = Capture<Address>([&] { return Address::Parse(value); });
   if (std::holds_alternative<Failure>(parsed)) {
     return Fail(ErrorCode::kSettingOutOfRange,
                 place + ": \"" + value + "\" is not a numeric host:port");
@@ -95,9 +94,9 @@
     std::istringstream stream(text);
     pt::read_ini(stream, tree);
   } catch (const pt::ini_parser_error& error) {
-    return Fail(ErrorCode::kSettingsMalformed,
-                path + ":" + std::to_string(error.line()) + " " +
-                    error.message());
+    return Fail(
+        ErrorCode::kSettingsMalformed,
+        path + ":" + std::to_string(error.line()) + " " + error.message());
   }
   Values values;
   for (const auto& [section, keys] : tree) {
@@ -214,8 +213,7 @@
   return 0;
 }
 
-std::vector<std::string> SplitTrimmed(const std::string& text,
-                                      char separator) {
+std::vector<std::string> SplitTrimmed(const std::string& text, char separator) {
   std::vector<std::string> parts;
   std::istringstream stream(text);
   std::string part;
--- a/src/consensus/file.cc
+++ b/src/consensus/file.cc
@@ -14,8 +14,7 @@
 namespace {
 
 boost::leaf::error_id DiskFailure(const std::string& path) {
-  return Fail(ErrorCode::kDiskWriteFailed,
-              path + ": " + std::strerror(errno));
+  return Fail(ErrorCode::kDiskWriteFailed, path + ": " + std::strerror(errno));
 }
 
 }  // namespace
@@ -58,8 +57,8 @@
                                  const std::string& name, ByteView bytes) {
   const std::string path = folder + "/" + name;
   const std::string temporary = path + ".tmp";
-  const int file = ::open(temporary.c_str(),
-                          O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  const int file =
+      ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   if (file < 0) {
     return DiskFailure(temporary);
   }
--- a/src/consensus/file.h
+++ b/src/consensus/file.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "bronzebarrow/base/failure.h"
-
 #include "consensus/record.h"
 
 namespace bronzebarrow::consensus {
@@ -19,7 +18,8 @@
 /** Makes the names within a folder durable. */
 Result<void> SyncFolder(const std::string& folder);
 
-/** Writes a whole file so that after a crash it is there whole or not at all. */
+/** Writes a whole file so that after a crash it is there whole or not at all.
+ */
 Result<void> WriteFileAtomically(const std::string& folder,
                                  const std::string& name, ByteView bytes);
 
--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -138,10 +138,9 @@
 
 bool IsConsecutive(const DurableState& state) {
   std::uint64_t expected = state.m_base_index;
-  return std::all_of(state.m_entries.begin(), state.m_entries.end(),
-                     [&](const wire::LogEntryT& entry) {
-                       return entry.index == ++expected;
-                     });
+  return std::all_of(
+      state.m_entries.begin(), state.m_entries.end(),
+      [&](const wire::LogEntryT& entry) { return entry.index == ++expected; });
 }
 
 }  // namespace
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -134,8 +134,7 @@
     batch.truncate_from = m_truncate_from;
   }
   for (std::uint64_t index = first; index <= last_index(); ++index) {
-    batch.entries.push_back(
-        std::make_unique<wire::LogEntryT>(EntryAt(index)));
+    batch.entries.push_back(std::make_unique<wire::LogEntryT>(EntryAt(index)));
   }
   m_unsaved_from = last_index() + 1;
   m_in_flight_last = last_index();
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -129,10 +129,9 @@
 }
 
 void Replica::CheckVotes(Instant now) {
-  const auto votes = static_cast<std::size_t>(
-      std::count_if(m_votes.begin(), m_votes.end(), [&](const ReplicaId& id) {
-        return membership().IsVoter(id);
-      }));
+  const auto votes = static_cast<std::size_t>(std::count_if(
+      m_votes.begin(), m_votes.end(),
+      [&](const ReplicaId& id) { return membership().IsVoter(id); }));
   if (votes < membership().Quorum()) {
     return;
   }
--- a/src/consensus/replica_membership.cc
+++ b/src/consensus/replica_membership.cc
@@ -3,8 +3,8 @@
 
 #include "bronzebarrow/base/check.h"
 #include "bronzebarrow/consensus/replica.h"
-#include "consensus/replica_messages.h"
 #include "bronzebarrow/wire/codec.h"
+#include "consensus/replica_messages.h"
 
 namespace bronzebarrow::consensus {
 
--- /dev/null
+++ b/src/fleet/lifecycle.cc
@@ -0,0 +1,159 @@
+// Lifecycles as Boost.MSM machines. Records are replicated as plain states, so
+// each step enters its state from kStart and takes one event.
+#include "bronzebarrow/fleet/lifecycle.h"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace bronzebarrow::fleet {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::Row;
+
+// Enters state `kState` from the machine's start.
+template <auto kState>
+struct Enter {};
+
+template <auto kEvent>
+struct On {};
+
+struct Start : msm::front::state<> {};
+
+template <auto kState>
+struct In : msm::front::state<> {
+  template <class Event, class Fsm>
+  void on_entry(const Event&, Fsm& machine) {
+    machine.m_state = kState;
+  }
+};
+
+template <class State>
+struct MachineBase {
+  std::optional<State> m_state;
+
+  template <class Fsm, class Event>
+  void no_transition(const Event&, Fsm&, int) {
+    m_state.reset();
+  }
+};
+
+using IS = InstanceState;
+using IE = InstanceEvent;
+
+struct InstanceDef : msm::front::state_machine_def<InstanceDef>,
+                     MachineBase<InstanceState> {
+  using MachineBase<InstanceState>::no_transition;
+  using initial_state = Start;  // NOLINT(readability-identifier-naming)
+
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  struct transition_table
+      : boost::mpl::vector<
+            Row<Start, Enter<IS::kInService>, In<IS::kInService>>,
+            Row<Start, Enter<IS::kDraining>, In<IS::kDraining>>,
+            Row<Start, Enter<IS::kStopped>, In<IS::kStopped>>,
+            Row<Start, Enter<IS::kProbation>, In<IS::kProbation>>,
+            Row<Start, Enter<IS::kLost>, In<IS::kLost>>,
+            Row<In<IS::kInService>, On<IE::kStopAnnounced>, In<IS::kDraining>>,
+            Row<In<IS::kInService>, On<IE::kWentMissing>, In<IS::kLost>>,
+            Row<In<IS::kInService>, On<IE::kReturned>, In<IS::kProbation>>,
+            Row<In<IS::kProbation>, On<IE::kStopAnnounced>, In<IS::kDraining>>,
+            Row<In<IS::kProbation>, On<IE::kHeld>, In<IS::kInService>>,
+            Row<In<IS::kProbation>, On<IE::kReturned>, In<IS::kProbation>>,
+            Row<In<IS::kProbation>, On<IE::kWentMissing>, In<IS::kLost>>,
+            Row<In<IS::kDraining>, On<IE::kStopReleased>, In<IS::kStopped>>,
+            Row<In<IS::kDraining>, On<IE::kStopAbandoned>, In<IS::kProbation>>,
+            Row<In<IS::kDraining>, On<IE::kReturned>, In<IS::kProbation>>,
+            Row<In<IS::kStopped>, On<IE::kReturned>, In<IS::kProbation>>,
+            Row<In<IS::kLost>, On<IE::kReturned>, In<IS::kProbation>>> {};
+};
+
+using SS = StopState;
+using SE = StopEvent;
+
+struct StopDef : msm::front::state_machine_def<StopDef>,
+                 MachineBase<StopState> {
+  using MachineBase<StopState>::no_transition;
+  using initial_state = Start;  // NOLINT(readability-identifier-naming)
+
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  struct transition_table
+      : boost::mpl::vector<
+            Row<Start, Enter<SS::kDraining>, In<SS::kDraining>>,
+            Row<Start, Enter<SS::kReleased>, In<SS::kReleased>>,
+            Row<Start, Enter<SS::kReturned>, In<SS::kReturned>>,
+            Row<Start, Enter<SS::kExpired>, In<SS::kExpired>>,
+            Row<Start, Enter<SS::kCancelled>, In<SS::kCancelled>>,
+            Row<In<SS::kDraining>, On<SE::kRelease>, In<SS::kReleased>>,
+            Row<In<SS::kDraining>, On<SE::kReturn>, In<SS::kReturned>>,
+            Row<In<SS::kDraining>, On<SE::kExpire>, In<SS::kExpired>>,
+            Row<In<SS::kDraining>, On<SE::kCancel>, In<SS::kCancelled>>,
+            Row<In<SS::kReleased>, On<SE::kReturn>, In<SS::kReturned>>> {};
+};
+
+template <class Machine, auto kValue>
+void EnterState(Machine& machine) {
+  machine.process_event(Enter<kValue>());
+}
+
+template <class Machine, auto kValue>
+void TakeEvent(Machine& machine) {
+  machine.process_event(On<kValue>());
+}
+
+template <class Def>
+using Backend = msm::back::state_machine<Def>;
+
+using InstanceStep = void (*)(Backend<InstanceDef>&);
+using StopStep = void (*)(Backend<StopDef>&);
+
+// Indexed by InstanceState and InstanceEvent.
+constexpr std::array<InstanceStep, 5> kEnterInstance = {
+    EnterState<Backend<InstanceDef>, IS::kInService>,
+    EnterState<Backend<InstanceDef>, IS::kDraining>,
+    EnterState<Backend<InstanceDef>, IS::kStopped>,
+    EnterState<Backend<InstanceDef>, IS::kProbation>,
+    EnterState<Backend<InstanceDef>, IS::kLost>};
+constexpr std::array<InstanceStep, 6> kInstanceEvents = {
+    TakeEvent<Backend<InstanceDef>, IE::kStopAnnounced>,
+    TakeEvent<Backend<InstanceDef>, IE::kStopReleased>,
+    TakeEvent<Backend<InstanceDef>, IE::kStopAbandoned>,
+    TakeEvent<Backend<InstanceDef>, IE::kReturned>,
+    TakeEvent<Backend<InstanceDef>, IE::kHeld>,
+    TakeEvent<Backend<InstanceDef>, IE::kWentMissing>};
+
+// Indexed by StopState and StopEvent.
+constexpr std::array<StopStep, 5> kEnterStop = {
+    EnterState<Backend<StopDef>, SS::kDraining>,
+    EnterState<Backend<StopDef>, SS::kReleased>,
+    EnterState<Backend<StopDef>, SS::kReturned>,
+    EnterState<Backend<StopDef>, SS::kExpired>,
+    EnterState<Backend<StopDef>, SS::kCancelled>};
+constexpr std::array<StopStep, 4> kStopEvents = {
+    TakeEvent<Backend<StopDef>, SE::kRelease>,
+    TakeEvent<Backend<StopDef>, SE::kReturn>,
+    TakeEvent<Backend<StopDef>, SE::kExpire>,
+    TakeEvent<Backend<StopDef>, SE::kCancel>};
+
+}  // namespace
+
+std::optional<InstanceState> NextState(InstanceState state,
+                                       InstanceEvent event) {
+  Backend<InstanceDef> machine;
+  machine.start();
+  kEnterInstance[static_cast<std::size_t>(state)](machine);
+  kInstanceEvents[static_cast<std::size_t>(event)](machine);
+  return machine.m_state;
+}
+
+std::optional<StopState> NextState(StopState state, StopEvent event) {
+  Backend<StopDef> machine;
+  machine.start();
+  kEnterStop[static_cast<std::size_t>(state)](machine);
+  kStopEvents[static_cast<std::size_t>(event)](machine);
+  return machine.m_state;
+}
+
+}  // namespace bronzebarrow::fleet
--- /dev/null
+++ b/src/ledger/ledger.cc
@@ -0,0 +1,153 @@
+// The ledger's rules.
+#include "bronzebarrow/ledger/ledger.h"
+
+#include <utility>
+
+#include "bronzebarrow/ledger/request_key.h"
+
+namespace bronzebarrow::ledger {
+
+LedgerAnswer Ledger::Apply(const wire::LedgerCommandT& command,
+                           std::uint64_t now_ms) {
+  DropExpired(now_ms);
+  switch (command.op) {
+    case wire::LedgerOp::Grant:
+      return Grant(command, now_ms);
+    case wire::LedgerOp::Refuse:
+      return Refuse(command, now_ms);
+    case wire::LedgerOp::Complete:
+      return Complete(command);
+  }
+  return {};
+}
+
+LedgerAnswer Ledger::Grant(const wire::LedgerCommandT& command,
+                           std::uint64_t now_ms) {
+  const auto found = m_records.find(command.key);
+  if (found == m_records.end()) {
+    return Insert(command, RecordState::kGranted, now_ms);
+  }
+  return AnswerFrom(found->second, command);
+}
+
+LedgerAnswer Ledger::Refuse(const wire::LedgerCommandT& command,
+                            std::uint64_t now_ms) {
+  const auto found = m_records.find(command.key);
+  if (found == m_records.end()) {
+    return Insert(command, RecordState::kRefused, now_ms);
+  }
+  Record& record = found->second;
+  if (record.m_state == RecordState::kGranted && IsHeldBy(record, command)) {
+    record.m_state = RecordState::kRefused;
+  }
+  return AnswerFrom(record, command);
+}
+
+LedgerAnswer Ledger::Complete(const wire::LedgerCommandT& command) {
+  const auto found = m_records.find(command.key);
+  if (found == m_records.end()) {
+    return {wire::LedgerVerdict::Expired, 0, {}};
+  }
+  Record& record = found->second;
+  if (record.m_state == RecordState::kGranted && IsHeldBy(record, command)) {
+    record.m_state = RecordState::kCompleted;
+    record.m_status = command.status;
+    if (command.body.size() <= kMaxStoredAnswerBytes) {
+      record.m_body = command.body;
+    }
+  }
+  return AnswerFrom(record, command);
+}
+
+LedgerAnswer Ledger::Insert(const wire::LedgerCommandT& command,
+                            RecordState state, std::uint64_t now_ms) {
+  const auto issued_ms = IssueTimeOf(command.key);
+  if (!issued_ms || *issued_ms > now_ms + kMaxClockSkewMs) {
+    return {wire::LedgerVerdict::KeyInvalid, 0, {}};
+  }
+  if (*issued_ms + kKeyRetentionMs < now_ms) {
+    return {wire::LedgerVerdict::Expired, 0, {}};
+  }
+  if (m_records.size() >= kMaxKeys) {
+    return {wire::LedgerVerdict::Full, 0, {}};
+  }
+  Record& record = m_records[command.key];
+  record.m_state = state;
+  record.m_digest = command.digest;
+  record.m_issued_ms = *issued_ms;
+  record.m_holder = command.holder;
+  record.m_attempt = command.attempt;
+  m_by_issue.emplace(*issued_ms, command.key);
+  return AnswerFrom(record, command);
+}
+
+bool Ledger::IsHeldBy(const Record& record,
+                      const wire::LedgerCommandT& command) {
+  return record.m_holder == command.holder &&
+         record.m_attempt == command.attempt;
+}
+
+LedgerAnswer Ledger::AnswerFrom(const Record& record,
+                                const wire::LedgerCommandT& command) {
+  if (record.m_digest != command.digest) {
+    return {wire::LedgerVerdict::DigestMismatch, 0, {}};
+  }
+  switch (record.m_state) {
+    case RecordState::kGranted:
+      return {IsHeldBy(record, command) ? wire::LedgerVerdict::Granted
+                                        : wire::LedgerVerdict::InProgress,
+              0,
+              {}};
+    case RecordState::kCompleted:
+      return {wire::LedgerVerdict::Completed, record.m_status, record.m_body};
+    case RecordState::kRefused:
+      return {wire::LedgerVerdict::Refused, 0, {}};
+  }
+  return {};
+}
+
+void Ledger::DropExpired(std::uint64_t now_ms) {
+  while (!m_by_issue.empty() &&
+         m_by_issue.begin()->first + kKeyRetentionMs < now_ms) {
+    m_records.erase(m_by_issue.begin()->second);
+    m_by_issue.erase(m_by_issue.begin());
+  }
+}
+
+std::vector<std::unique_ptr<wire::LedgerRecordT>> Ledger::ToWire() const {
+  std::vector<std::unique_ptr<wire::LedgerRecordT>> records;
+  records.reserve(m_records.size());
+  for (const auto& [issued_ms, key] : m_by_issue) {
+    const Record& record = m_records.at(key);
+    auto copy = std::make_unique<wire::LedgerRecordT>();
+    copy->key = key;
+    copy->state = static_cast<std::int8_t>(record.m_state);
+    copy->digest = record.m_digest;
+    copy->issued_ms = issued_ms;
+    copy->holder = record.m_holder;
+    copy->attempt = record.m_attempt;
+    copy->status = record.m_status;
+    copy->body = record.m_body;
+    records.push_back(std::move(copy));
+  }
+  return records;
+}
+
+void Ledger::FromWire(
+    const std::vector<std::unique_ptr<wire::LedgerRecordT>>& records) {
+  m_records.clear();
+  m_by_issue.clear();
+  for (const auto& stored : records) {
+    Record& record = m_records[stored->key];
+    record.m_state = static_cast<RecordState>(stored->state);
+    record.m_digest = stored->digest;
+    record.m_issued_ms = stored->issued_ms;
+    record.m_holder = stored->holder;
+    record.m_attempt = stored->attempt;
+    record.m_status = stored->status;
+    record.m_body = stored->body;
+    m_by_issue.emplace(stored->issued_ms, stored->key);
+  }
+}
+
+}  // namespace bronzebarrow::ledger
--- /dev/null
+++ b/src/net/acceptor.cc
@@ -0,0 +1,69 @@
+// Listening and accepting.
+#include "bronzebarrow/net/acceptor.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "bronzebarrow/base/time.h"
+
+namespace bronzebarrow::net {
+namespace {
+
+namespace asio = boost::asio;
+
+// Pause after a failed accept, e.g. when descriptors have run out.
+constexpr Duration kAcceptPause = Millis(50);
+
+}  // namespace
+
+Acceptor::Acceptor(asio::any_io_executor executor, OnSocket on_socket)
+    : m_executor(executor),
+      m_acceptor(executor),
+      m_on_socket(std::move(on_socket)) {}
+
+Result<std::shared_ptr<Acceptor>> Acceptor::Listen(
+    asio::any_io_executor executor, const Address& address,
+    OnSocket on_socket) {
+  auto acceptor = std::make_shared<Acceptor>(executor, std::move(on_socket));
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.m_host),
+                                         address.m_port);
+  try {
+    acceptor->m_acceptor.open(endpoint.protocol());
+    acceptor->m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor->m_acceptor.bind(endpoint);
+    acceptor->m_acceptor.listen();
+  } catch (const boost::system::system_error& error) {
+    return Fail(ErrorCode::kAddressUnusable,
+                address.Text() + ": " + error.code().message());
+  }
+  acceptor->AcceptNext(acceptor);
+  return acceptor;
+}
+
+void Acceptor::Close() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+void Acceptor::AcceptNext(const std::shared_ptr<Acceptor>& self) {
+  m_acceptor.async_accept(
+      asio::make_strand(m_executor),
+      [this, self](const boost::system::error_code& error,
+                   asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open() || error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          m_on_socket(std::move(socket));
+          AcceptNext(self);
+          return;
+        }
+        auto pause =
+            std::make_shared<asio::steady_timer>(m_executor, kAcceptPause);
+        pause->async_wait(
+            [this, self, pause](const auto&) { AcceptNext(self); });
+      });
+}
+
+}  // namespace bronzebarrow::net
--- /dev/null
+++ b/src/net/target_pool.cc
@@ -0,0 +1,141 @@
+// Acquiring connections and exchanging one request for one whole answer.
+#include "bronzebarrow/net/target_pool.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace bronzebarrow::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr Duration kConnectTimeout = Millis(1000);
+constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+
+// An idle connection is usable while its peer neither closed it nor sent
+// anything: bytes nobody asked for belong to no request.
+bool IsQuiet(beast::tcp_stream& stream) {
+  char byte = 0;
+  const ssize_t got = ::recv(stream.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+asio::awaitable<bool> Connect(TargetConnectionPtr connection, Address address,
+                              Instant deadline) {
+  const Instant limit = std::min(deadline, Now() + kConnectTimeout);
+  connection->m_stream.expires_at(limit);
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.m_host),
+                                         address.m_port);
+  co_await connection->m_stream.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return false;
+  }
+  connection->m_stream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                           error);
+  connection->m_stream.expires_never();
+  connection->m_opened = Now();
+  co_return true;
+}
+
+asio::awaitable<ExchangeResult> RunExchange(TargetConnectionPtr connection,
+                                            HttpRequest request,
+                                            Instant deadline) {
+  ExchangeResult result;
+  beast::tcp_stream& stream = connection->m_stream;
+  stream.expires_at(deadline);
+  boost::system::error_code error;
+  co_await http::async_write(stream, request,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    result.m_verdict = error == beast::error::timeout
+                           ? ExchangeVerdict::kTimeout
+                           : ExchangeVerdict::kBroken;
+    co_return result;
+  }
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(kMaxAnswerBytes);
+  beast::flat_buffer buffer;
+  co_await http::async_read(stream, buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error == beast::error::timeout) {
+    result.m_verdict = ExchangeVerdict::kTimeout;
+  } else if (error == http::error::end_of_stream ||
+             error == asio::error::connection_reset) {
+    result.m_verdict = ExchangeVerdict::kBroken;
+  } else if (error || parser.need_eof() || buffer.size() != 0) {
+    result.m_verdict = ExchangeVerdict::kMalformed;
+  } else {
+    result.m_verdict = ExchangeVerdict::kAnswered;
+    result.m_response = parser.release();
+  }
+  stream.expires_never();
+  co_return result;
+}
+
+}  // namespace
+
+TargetConnectionPtr TargetPool::TakeIdle(const Address& address) {
+  const std::lock_guard lock(m_mutex);
+  auto& idle = m_idle[address];
+  while (!idle.empty()) {
+    TargetConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (IsQuiet(connection->m_stream)) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+asio::awaitable<TargetConnectionPtr> TargetPool::Acquire(Address address,
+                                                         Instant deadline) {
+  if (TargetConnectionPtr idle = TakeIdle(address)) {
+    co_return idle;
+  }
+  auto connection = std::make_shared<TargetConnection>(m_executor);
+  const bool connected = co_await asio::co_spawn(
+      connection->m_strand, Connect(connection, address, deadline),
+      asio::use_awaitable);
+  co_return connected ? connection : nullptr;
+}
+
+asio::awaitable<ExchangeResult> TargetPool::Exchange(
+    TargetConnectionPtr connection, Address address, HttpRequest request,
+    Instant deadline) {
+  ExchangeResult result = co_await asio::co_spawn(
+      connection->m_strand,
+      RunExchange(connection, std::move(request), deadline),
+      asio::use_awaitable);
+  if (result.m_verdict == ExchangeVerdict::kAnswered &&
+      result.m_response.keep_alive()) {
+    Release(address, std::move(connection));
+  } else if (result.m_verdict == ExchangeVerdict::kTimeout) {
+    Retire(address);
+  }
+  co_return result;
+}
+
+void TargetPool::Release(const Address& address,
+                         TargetConnectionPtr connection) {
+  const std::lock_guard lock(m_mutex);
+  m_idle[address].push_back(std::move(connection));
+}
+
+void TargetPool::Retire(const Address& address) {
+  const std::lock_guard lock(m_mutex);
+  m_idle.erase(address);
+}
+
+}  // namespace bronzebarrow::net
--- /dev/null
+++ b/src/programs/entry/control_link.h
@@ -0,0 +1,98 @@
+// An entry's link to the control group: lease renewals, updates of the state
+// and calls to the ledger.
+#ifndef BRONZEBARROW_SRC_PROGRAMS_ENTRY_CONTROL_LINK_H_
+#define BRONZEBARROW_SRC_PROGRAMS_ENTRY_CONTROL_LINK_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/net.h"
+#include "bronzebarrow/routing.h"
+#include "programs/entry/entry_settings.h"
+
+namespace bronzebarrow::programs {
+
+/** What the entry reports besides its versions. */
+struct EntryReport {
+  std::uint64_t m_config_version = 0;
+  std::uint64_t m_fleet_version = 0;
+  std::vector<std::string> m_drained;
+  std::vector<wire::ObservationT> m_present;
+};
+
+/** Runs on m_strand; the lease may be asked from any thread. */
+class ControlLink : public std::enable_shared_from_this<ControlLink> {
+ public:
+  using MakeReport = std::function<EntryReport()>;
+  using OnUpdate = std::function<void(const wire::StateUpdateT&)>;
+
+  ControlLink(boost::asio::any_io_executor executor,
+              const EntrySettings& settings);
+
+  void Start(MakeReport make_report, OnUpdate on_update);
+  void Stop();
+
+  bool HoldsLease(std::uint64_t config_version,
+                  std::uint64_t fleet_version) const;
+
+  /**
+   * Asks the ledger, trying again through changes of the leader.
+   * @return the reply, or a verdict Unavailable when the deadline passed
+   */
+  boost::asio::awaitable<wire::LedgerReplyT> Ask(wire::LedgerCommandT command,
+                                                 Instant deadline);
+
+ private:
+  struct PendingCall {
+    explicit PendingCall(const boost::asio::any_io_executor& executor)
+        : m_wake(executor) {}
+    boost::asio::steady_timer m_wake;
+    std::optional<wire::LedgerReplyT> m_reply;
+  };
+
+  boost::asio::awaitable<wire::LedgerReplyT> AskOnStrand(
+      wire::LedgerCommandT command, Instant deadline);
+  void ScheduleTick();
+  void Tick(Instant now);
+  void SendReport(const EntryReport& report, Instant now);
+  void OnFrame(const std::string& member, std::unique_ptr<wire::FrameT> frame);
+  void OnGrant(const wire::LeaseGrantT& grant);
+  void OnNotLeader(const std::string& member, const wire::NotLeaderT& reply);
+  void SwitchLeader(const std::string& leader);
+  std::string NextMember() const;
+  bool SendToLeader(wire::BodyUnion body);
+
+  std::string m_name;
+  Duration m_renewal;
+  boost::asio::any_io_executor m_executor;
+  boost::asio::strand<boost::asio::any_io_executor> m_strand;
+  boost::asio::steady_timer m_tick;
+  MakeReport m_make_report;
+  OnUpdate m_on_update;
+  std::map<std::string, std::shared_ptr<net::FrameDialer>> m_members;
+  std::string m_leader;  // The member believed to lead; a key of m_members.
+  Instant m_last_report;
+  Instant m_last_switch;
+  std::optional<Instant> m_unanswered_since;
+  EntryReport m_reported;  // Last sent to m_leader.
+  bool m_need_full_view = true;
+  std::map<std::uint64_t, std::shared_ptr<PendingCall>> m_calls;
+  std::uint64_t m_next_call = 1;
+  bool m_stopping = false;
+
+  mutable std::mutex m_lease_mutex;  // Guards m_lease; a leaf lock.
+  routing::EntryLease m_lease;
+};
+
+}  // namespace bronzebarrow::programs
+
+#endif  // BRONZEBARROW_SRC_PROGRAMS_ENTRY_CONTROL_LINK_H_
--- /dev/null
+++ b/src/programs/entry/entry_node.h
@@ -0,0 +1,139 @@
+// One entry: the shell round the router and the configuration lease.
+#ifndef BRONZEBARROW_SRC_PROGRAMS_ENTRY_ENTRY_NODE_H_
+#define BRONZEBARROW_SRC_PROGRAMS_ENTRY_ENTRY_NODE_H_
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "bronzebarrow/base.h"
+#include "bronzebarrow/net.h"
+#include "bronzebarrow/routing.h"
+#include "programs/entry/caller_request.h"
+#include "programs/entry/control_link.h"
+#include "programs/entry/entry_settings.h"
+
+namespace bronzebarrow::programs {
+
+/**
+ * A pool of workers runs the sessions over the shared tables. Lock order:
+ * m_routing_mutex before the leaf locks of the control link's lease, the
+ * target connections and the metrics; no lock is held across a wait.
+ */
+class EntryNode : public std::enable_shared_from_this<EntryNode> {
+ public:
+  EntryNode(boost::asio::any_io_executor executor, EntrySettings settings);
+
+  Result<void> Start();
+  /**
+   * Stops gracefully: readiness turns red, new work is still served for the
+   * grace period, requests in flight finish, then `on_stopped` is called.
+   */
+  void Stop(std::function<void()> on_stopped);
+
+ private:
+  /** A request that waits in the router's queue. */
+  struct WaitingCall {
+    explicit WaitingCall(const boost::asio::any_io_executor& executor)
+        : m_wake(executor) {}
+    boost::asio::steady_timer m_wake;  // Touched on its executor only.
+    std::optional<routing::Dispatch> m_dispatch;
+    std::optional<ErrorCode> m_refusal;
+  };
+  struct RouteResult {
+    std::optional<routing::Dispatch> m_dispatch;
+    ErrorCode m_code = ErrorCode::kInternal;
+  };
+  /** The state of one caller's request while it is served. */
+  struct Serving {
+    CallerRequest m_call;
+    std::string m_request_id;
+    bool m_granted = false;
+    int m_attempts = 0;
+  };
+  /** One attempt's end: an answer, or a code to try again or refuse with. */
+  struct Attempt {
+    std::optional<net::HttpResponse> m_answer;
+    ErrorCode m_code = ErrorCode::kInternal;
+    bool m_may_have_run = false;
+  };
+
+  boost::asio::awaitable<net::HttpResponse> Handle(
+      const net::HttpRequest& request);
+  net::HttpResponse HandleAnnounce(const net::HttpRequest& request);
+  net::HttpResponse HandleReady() const;
+  net::HttpResponse HandleStatus() const;
+  std::string MetricsText();
+
+  // Callers.
+  boost::asio::awaitable<net::HttpResponse> ServeCaller(
+      const net::HttpRequest& request);
+  boost::asio::awaitable<net::HttpResponse> ServeParsed(
+      const net::HttpRequest& request, Serving serving);
+  boost::asio::awaitable<Attempt> TryOnce(const net::HttpRequest& request,
+                                          Serving& serving);
+  boost::asio::awaitable<RouteResult> RouteCall(const CallerRequest& call);
+  boost::asio::awaitable<std::optional<net::HttpResponse>> TakeGrant(
+      Serving& serving);
+  boost::asio::awaitable<net::HttpResponse> Refuse(const Serving& serving,
+                                                   ErrorCode code);
+  net::HttpResponse AnswerFromRecord(const wire::LedgerReplyT& reply) const;
+  void RecordAnswer(const Serving& serving, const net::HttpResponse& answer);
+  /** Offers a command to the ledger without anyone waiting for it. */
+  void Record(wire::LedgerCommandT command);
+  wire::LedgerCommandT MakeLedgerCommand(wire::LedgerOp op,
+                                         const Serving& serving) const;
+  void CountCall(const CallerRequest& call, const net::HttpResponse& answer);
+  bool MayRetry(const std::string& plan);
+
+  // Routing.
+  void FinishDispatch(const routing::Dispatch& dispatch,
+                      routing::TargetOutcome outcome);
+  void Perform(const routing::RouterActions& actions);
+  void Wake(std::uint64_t request_id, std::optional<routing::Dispatch> dispatch,
+            std::optional<ErrorCode> refusal);
+  bool HoldsLease() const;
+
+  // State from the control group and from targets.
+  EntryReport MakeReport() const;
+  void OnUpdate(const wire::StateUpdateT& update);
+  void TakeAnnouncement(const wire::AnnouncementT& announcement,
+                        bool from_target);
+  void FlushAnnouncements();
+  void ScheduleTick();
+
+  EntrySettings m_settings;
+  boost::asio::any_io_executor m_executor;
+  boost::asio::steady_timer m_tick;
+  net::TargetPool m_targets;
+  std::shared_ptr<ControlLink> m_control;
+  std::map<std::string, std::shared_ptr<net::FrameDialer>> m_peers;
+  std::shared_ptr<net::Acceptor> m_acceptor;
+  std::shared_ptr<net::HttpServer> m_http;
+  Metrics m_metrics;
+  std::uint64_t m_boot_id = 0;  // Distinguishes attempts of each start.
+  std::atomic<std::uint64_t> m_next_request{1};
+  std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_had_lease{false};
+  std::atomic<int> m_pending_records{0};
+
+  mutable std::mutex m_routing_mutex;  // Guards all below.
+  routing::Router m_router;
+  std::map<std::uint64_t, std::shared_ptr<WaitingCall>> m_waiting;
+  std::map<std::string, routing::RetryBudget> m_retry_budgets;
+  std::map<std::string, wire::AnnouncementT> m_outbox;  // To tell the peers.
+  std::uint64_t m_config_version = 0;                   // Never decreases.
+  std::uint64_t m_fleet_version = 0;                    // Never decreases.
+  std::map<std::string, std::string> m_class_of_plan;
+};
+
+}  // namespace bronzebarrow::programs
+
+#endif  // BRONZEBARROW_SRC_PROGRAMS_ENTRY_ENTRY_NODE_H_
--- /dev/null
+++ b/src/programs/entry/entry_settings.h
@@ -0,0 +1,33 @@
+// Settings of bronzebarrow-entry.
+#ifndef BRONZEBARROW_SRC_PROGRAMS_ENTRY_ENTRY_SETTINGS_H_
+#define BRONZEBARROW_SRC_PROGRAMS_ENTRY_ENTRY_SETTINGS_H_
+
+#include <map>
+#include <span>
+#include <string>
+
+#include "bronzebarrow/base.h"
+#include "bronzebarrow/routing.h"
+
+namespace bronzebarrow::programs {
+
+struct EntrySettings {
+  std::string m_name;
+  std::string m_zone;
+  Address m_listen;
+  Address m_http;
+  Duration m_lease_renewal;
+  Duration m_max_deadline;
+  Duration m_stop_grace;
+  int m_workers = 1;
+  routing::RouterOptions m_router;
+  std::map<std::string, Address> m_members;
+  std::map<std::string, Address> m_peers;  // The other entries.
+
+  static Result<EntrySettings> Load(const std::string& path);
+  static std::span<const SettingSpec> Specs();
+};
+
+}  // namespace bronzebarrow::programs
+
+#endif  // BRONZEBARROW_SRC_PROGRAMS_ENTRY_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/programs/entry/entry_targets.cc
@@ -0,0 +1,161 @@
+// EntryNode: announcements of targets, and telling them to the other entries.
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "bronzebarrow/fleet.h"
+#include "programs/entry/entry_node.h"
+
+namespace bronzebarrow::programs {
+namespace {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr std::int64_t kMaxSlots = 10'000;
+constexpr std::int64_t kMaxTtlMs = 60'000;
+constexpr std::int64_t kMinTtlMs = 200;
+
+Result<std::string> NameField(const json::object& body, const char* key) {
+  const auto* const value = body.if_contains(key);
+  if (value == nullptr || !value->is_string() ||
+      !IsName(std::string_view(value->as_string()))) {
+    return Fail(ErrorCode::kRequestMalformed,
+                std::string(key) + " is not a name");
+  }
+  return std::string(value->as_string());
+}
+
+Result<std::int64_t> NumberField(const json::object& body, const char* key,
+                                 std::int64_t min, std::int64_t max) {
+  const auto* const value = body.if_contains(key);
+  if (value == nullptr || !value->is_int64() || value->as_int64() < min ||
+      value->as_int64() > max) {
+    return Fail(ErrorCode::kRequestMalformed,
+                std::string(key) + " is not an integer from " +
+                    std::to_string(min) + " to " + std::to_string(max));
+  }
+  return value->as_int64();
+}
+
+Result<wire::AnnouncementT> ParseAnnouncement(const std::string& text) {
+  constexpr std::int64_t kMaxCounter = std::numeric_limits<std::int64_t>::max();
+  boost::system::error_code error;
+  const json::value parsed = json::parse(text, error);
+  if (error || !parsed.is_object()) {
+    return Fail(ErrorCode::kRequestMalformed, "the body is not a JSON object");
+  }
+  const json::object& body = parsed.as_object();
+  wire::AnnouncementT announcement;
+  BOOST_LEAF_ASSIGN(announcement.instance, NameField(body, "instance"));
+  BOOST_LEAF_ASSIGN(announcement.pool, NameField(body, "pool"));
+  BOOST_LEAF_ASSIGN(announcement.zone, NameField(body, "zone"));
+  BOOST_LEAF_ASSIGN(announcement.rack, NameField(body, "rack"));
+  BOOST_LEAF_ASSIGN(announcement.host, NameField(body, "host"));
+  BOOST_LEAF_AUTO(port, NumberField(body, "port", 1, 65535));
+  BOOST_LEAF_CHECK(
+      Address::Parse(announcement.host + ":" + std::to_string(port)));
+  BOOST_LEAF_AUTO(slots, NumberField(body, "slots", 1, kMaxSlots));
+  BOOST_LEAF_AUTO(incarnation,
+                  NumberField(body, "incarnation", 1, kMaxCounter));
+  BOOST_LEAF_AUTO(sequence, NumberField(body, "sequence", 1, kMaxCounter));
+  BOOST_LEAF_AUTO(ttl, NumberField(body, "ttl_ms", kMinTtlMs, kMaxTtlMs));
+  BOOST_LEAF_AUTO(state, NameField(body, "state"));
+  if (state != "serving" && state != "leaving") {
+    return Fail(ErrorCode::kRequestMalformed,
+                "state is neither serving nor leaving");
+  }
+  announcement.port = static_cast<std::uint16_t>(port);
+  announcement.slots = static_cast<std::uint16_t>(slots);
+  announcement.incarnation = static_cast<std::uint64_t>(incarnation);
+  announcement.sequence = static_cast<std::uint64_t>(sequence);
+  announcement.ttl_ms = static_cast<std::uint32_t>(ttl);
+  announcement.state = state == "leaving" ? wire::TargetState::Leaving
+                                          : wire::TargetState::Serving;
+  return announcement;
+}
+
+}  // namespace
+
+net::HttpResponse EntryNode::HandleAnnounce(const net::HttpRequest& request) {
+  if (request.method() != http::verb::post) {
+    return net::MakeErrorResponse(http::status::method_not_allowed,
+                                  ErrorCode::kRequestMalformed, "use POST");
+  }
+  const auto parsed = Capture<wire::AnnouncementT>(
+      [&] { return ParseAnnouncement(request.body()); });
+  if (const auto* failure = std::get_if<Failure>(&parsed)) {
+    EventLine(Event::kAnnouncementRefused, Severity::kWarning)
+        .Field("code", failure->m_code)
+        .Field("context", failure->m_context);
+    return net::MakeErrorResponse(http::status::bad_request, failure->m_code,
+                                  failure->m_context);
+  }
+  const auto& announcement = std::get<wire::AnnouncementT>(parsed);
+  TakeAnnouncement(announcement, true);
+  json::object answer;
+  answer["state"] = "serving";
+  {
+    const std::lock_guard lock(m_routing_mutex);
+    const auto* const stop =
+        m_router.OpenStopOf(announcement.instance, announcement.incarnation);
+    if (stop != nullptr) {
+      const auto state = static_cast<fleet::StopState>(stop->state);
+      answer["state"] = std::string(NameOf(state));
+      answer["stop_id"] = stop->stop_id;
+    }
+  }
+  return net::MakeResponse(http::status::ok, "application/json",
+                           json::serialize(answer) + "\n");
+}
+
+void EntryNode::TakeAnnouncement(const wire::AnnouncementT& announcement,
+                                 bool from_target) {
+  bool is_news = false;
+  {
+    const std::lock_guard lock(m_routing_mutex);
+    const auto verdict = m_router.Announce(announcement, Now());
+    if (verdict == routing::AnnounceVerdict::kStale) {
+      return;
+    }
+    is_news = verdict == routing::AnnounceVerdict::kNews;
+    if (from_target) {
+      m_outbox[announcement.instance] = announcement;
+    }
+  }
+  if (is_news) {
+    const bool leaving = announcement.state == wire::TargetState::Leaving;
+    EventLine(leaving ? Event::kTargetLeaving : Event::kTargetAdded)
+        .Field("entry", m_settings.m_name)
+        .Field("instance", announcement.instance)
+        .Field("pool", announcement.pool)
+        .Field("incarnation", announcement.incarnation);
+  }
+}
+
+void EntryNode::FlushAnnouncements() {
+  std::map<std::string, wire::AnnouncementT> outbox;
+  {
+    const std::lock_guard lock(m_routing_mutex);
+    outbox.swap(m_outbox);
+  }
+  if (outbox.empty()) {
+    return;
+  }
+  wire::AnnouncementBatchT batch;
+  for (const auto& [instance, announcement] : outbox) {
+    batch.announcements.push_back(
+        std::make_unique<wire::AnnouncementT>(announcement));
+  }
+  wire::FrameT frame;
+  frame.sender = m_settings.m_name;
+  frame.body.Set(std::move(batch));
+  for (auto& [name, peer] : m_peers) {
+    peer->Send(frame);
+  }
+}
+
+}  // namespace bronzebarrow::programs
--- /dev/null
+++ b/src/programs/load/fake_target.h
@@ -0,0 +1,60 @@
+// A fake target: serves requests slowly, announces itself, and goes away and
+// comes back when a planned stop releases it.
+#ifndef BRONZEBARROW_SRC_PROGRAMS_LOAD_FAKE_TARGET_H_
+#define BRONZEBARROW_SRC_PROGRAMS_LOAD_FAKE_TARGET_H_
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+#include "bronzebarrow/net.h"
+#include "programs/load/load_settings.h"
+#include "programs/load/run_record.h"
+
+namespace bronzebarrow::programs {
+
+struct FakeTargetSpec {
+  std::string m_instance;
+  std::string m_pool;
+  std::string m_zone;
+  std::string m_rack;
+  Address m_address;
+};
+
+class FakeTarget : public std::enable_shared_from_this<FakeTarget> {
+ public:
+  FakeTarget(boost::asio::any_io_executor executor,
+             const LoadSettings& settings, FakeTargetSpec spec,
+             RunRecord& record, std::uint64_t seed);
+
+  Result<void> Start();
+
+ private:
+  Result<void> Listen();
+  boost::asio::awaitable<net::HttpResponse> Serve(
+      const net::HttpRequest& request);
+  boost::asio::awaitable<void> AnnounceLoop();
+  boost::asio::awaitable<std::string> Announce();
+  boost::asio::awaitable<void> GoAndReturn();
+  Duration DrawServiceTime();
+
+  boost::asio::any_io_executor m_executor;
+  const LoadSettings& m_settings;
+  FakeTargetSpec m_spec;
+  RunRecord& m_record;
+  net::TargetPool m_entries;
+  std::shared_ptr<net::HttpServer> m_server;
+  std::uint64_t m_incarnation = 0;
+  std::uint64_t m_sequence = 0;
+  std::size_t m_next_entry = 0;
+  std::mutex m_random_mutex;  // Guards m_random; a leaf lock.
+  std::mt19937_64 m_random;
+};
+
+}  // namespace bronzebarrow::programs
+
+#endif  // BRONZEBARROW_SRC_PROGRAMS_LOAD_FAKE_TARGET_H_
--- /dev/null
+++ b/src/programs/load/main.cc
@@ -0,0 +1,173 @@
+// bronzebarrow-load: fake targets, and open-loop callers that hold the system
+// to its promises.
+#include <gflags/gflags.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "programs/load/caller.h"
+#include "programs/load/fake_target.h"
+#include "programs/program.h"
+
+DEFINE_string(settings, "", "path of the INI settings file");
+DEFINE_bool(check, false, "check the settings and exit");
+DEFINE_int64(seconds, 10, "how long to call");
+DEFINE_uint64(seed, 1, "seed of arrivals and keys");
+DEFINE_string(csv, "", "file to write one line a request to");
+DEFINE_int32(workers, 2, "threads");
+
+namespace bronzebarrow::programs {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr Duration kRecordTimeout = Millis(10'000);
+
+std::vector<FakeTargetSpec> MakeFleet(const LoadSettings& settings) {
+  std::vector<FakeTargetSpec> fleet;
+  std::uint16_t port = settings.m_base_port;
+  for (const std::string& pool : settings.m_pools) {
+    for (int i = 0; i < settings.m_targets_per_pool; ++i) {
+      const auto zone_count = static_cast<int>(settings.m_zones.size());
+      const std::string& zone =
+          settings.m_zones[static_cast<std::size_t>(i % zone_count)];
+      const int place_in_zone = i / zone_count;
+      const int rack = place_in_zone / settings.m_instances_per_rack;
+      FakeTargetSpec spec;
+      spec.m_instance = pool + "-" + std::to_string(i);
+      spec.m_pool = pool;
+      spec.m_zone = zone;
+      spec.m_rack = zone + "-" + pool + "-r" + std::to_string(rack);
+      spec.m_address = {settings.m_host, port++};
+      fleet.push_back(std::move(spec));
+    }
+  }
+  return fleet;
+}
+
+Result<ExitCode> RunTargets(const LoadSettings& settings) {
+  asio::io_context io(FLAGS_workers);
+  RunRecord record;
+  std::uint64_t seed = FLAGS_seed;
+  for (FakeTargetSpec& spec : MakeFleet(settings)) {
+    auto target = std::make_shared<FakeTarget>(io.get_executor(), settings,
+                                               std::move(spec), record, seed++);
+    BOOST_LEAF_CHECK(target->Start());
+  }
+  const auto serve_record =
+      [&record](const net::HttpRequest&) -> asio::awaitable<net::HttpResponse> {
+    co_return net::MakeResponse(http::status::ok, "application/json",
+                                record.Json());
+  };
+  BOOST_LEAF_AUTO(admin,
+                  net::HttpServer::Listen(io.get_executor(), settings.m_admin,
+                                          serve_record));
+  RunUntilSignal(io, FLAGS_workers, [&io] { io.stop(); });
+  admin->StopAccepting();
+  return ExitCode::kOk;
+}
+
+asio::awaitable<json::object> FetchRecord(net::TargetPool& pool,
+                                          Address admin) {
+  const Instant deadline = Now() + kRecordTimeout;
+  auto connection = co_await pool.Acquire(admin, deadline);
+  if (!connection) {
+    co_return json::object();
+  }
+  net::HttpRequest request(http::verb::get, "/runs", 11);
+  request.set(http::field::host, admin.Text());
+  const net::ExchangeResult result = co_await pool.Exchange(
+      std::move(connection), admin, std::move(request), deadline);
+  boost::system::error_code error;
+  const json::value parsed = json::parse(result.m_response.body(), error);
+  co_return error || !parsed.is_object() ? json::object() : parsed.as_object();
+}
+
+void PrintVerdicts(const Verdicts& verdicts) {
+  std::cout << "doubled runs:             " << verdicts.m_doubled
+            << "\nfalse \"not run\":          " << verdicts.m_false_not_run
+            << "\ntold ran, but never ran:  " << verdicts.m_lost_runs
+            << "\nforeign or half answers:  " << verdicts.m_foreign
+            << "\ncontradicted answers:     " << verdicts.m_changed
+            << "\ncut by a planned stop:    " << verdicts.m_cut << "\n";
+}
+
+Result<ExitCode> RunCallers(const LoadSettings& settings) {
+  asio::io_context io(FLAGS_workers);
+  const auto callers =
+      std::make_shared<Callers>(io.get_executor(), settings, FLAGS_seed);
+  net::TargetPool pool(io.get_executor());
+  json::object record;
+  callers->Start(std::chrono::seconds(FLAGS_seconds), [&] {
+    asio::co_spawn(io, FetchRecord(pool, settings.m_admin),
+                   [&](const std::exception_ptr&, json::object fetched) {
+                     record = std::move(fetched);
+                     io.stop();
+                   });
+  });
+  RunUntilSignal(io, FLAGS_workers, [&io] { io.stop(); });
+  callers->PrintSummary(std::cout);
+  if (!FLAGS_csv.empty()) {
+    std::ofstream csv(FLAGS_csv);
+    callers->WriteCsv(csv);
+  }
+  if (!record.contains("runs")) {
+    return Fail(ErrorCode::kUnavailable, "the targets' record was not read");
+  }
+  const Verdicts verdicts = callers->Check(record);
+  PrintVerdicts(verdicts);
+  return verdicts.AllHold() ? ExitCode::kOk : ExitCode::kBroken;
+}
+
+int Main(const std::string& command) {
+  const auto outcome = Capture<ExitCode>([&]() -> Result<ExitCode> {
+    BOOST_LEAF_AUTO(settings, LoadSettings::Load(FLAGS_settings));
+    if (FLAGS_check) {
+      std::cout << "settings are valid\n";
+      return ExitCode::kOk;
+    }
+    if (command == "targets") {
+      return RunTargets(settings);
+    }
+    if (command == "run") {
+      return RunCallers(settings);
+    }
+    return Fail(ErrorCode::kUsage, "the command is targets or run");
+  });
+  if (const auto* failure = std::get_if<Failure>(&outcome)) {
+    std::cerr << "bronzebarrow-load: " << Describe(*failure) << "\n";
+    return ToInt(failure->m_code == ErrorCode::kUnavailable
+                     ? ExitCode::kUnavailable
+                     : ExitCodeOf(*failure));
+  }
+  return ToInt(std::get<ExitCode>(outcome));
+}
+
+}  // namespace
+}  // namespace bronzebarrow::programs
+
+int main(int argc, char** argv) {
+  namespace programs = bronzebarrow::programs;
+  gflags::SetUsageMessage(
+      "fake targets, and callers that hold the system to its promises\n"
+      "  bronzebarrow-load --settings FILE targets\n"
+      "  bronzebarrow-load --settings FILE [--seconds N] [--seed N] "
+      "[--csv FILE] run\n"
+      "Settings:\n" +
+      bronzebarrow::DescribeSettings(programs::LoadSettings::Specs()));
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  bronzebarrow::StartLog(argv[0]);
+  if (FLAGS_settings.empty() || argc != 2) {
+    std::cerr << "bronzebarrow-load: --settings FILE and one command are "
+                 "required\n";
+    return programs::ToInt(programs::ExitCode::kUsage);
+  }
+  return programs::Main(argv[1]);
+}
--- /dev/null
+++ b/src/programs/operator/commands.cc
@@ -0,0 +1,328 @@
+// The subcommands.
+#include "programs/operator/commands.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "bronzebarrow/fleet/lists.h"
+#include "programs/operator/status_view.h"
+
+namespace bronzebarrow::programs {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Duration kPollInterval = Millis(200);
+
+std::string IdOrNew(const CommandOptions& options, const char* prefix) {
+  if (!options.m_id.empty()) {
+    return options.m_id;
+  }
+  std::ostringstream id;
+  id << prefix << "-" << WallMillis() << "-" << std::random_device()() % 10000;
+  return id.str();
+}
+
+// Prints an answer and gives the exit code that goes with it.
+ExitCode Report(const ControlAnswer& answer, const CommandOptions& options,
+                const std::string& what) {
+  if (options.m_json) {
+    std::cout << json::serialize(answer.m_body) << "\n";
+  }
+  if (!answer.IsSuccess()) {
+    const auto* const error = answer.m_body.if_contains("error");
+    if (error != nullptr && error->is_object()) {
+      const json::object& fields = error->as_object();
+      std::cerr << "bronzebarrow: " << Text(fields.at("code")) << ": "
+                << Text(fields.at("message")) << " ("
+                << Text(fields.at("context")) << ")\n";
+    }
+    return ExitCode::kRefused;
+  }
+  if (!options.m_json && !what.empty()) {
+    std::cout << what << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+Result<json::object> Status(ControlClient& client) {
+  BOOST_LEAF_AUTO(answer, client.Call("/v1/status", nullptr));
+  if (!answer.IsSuccess()) {
+    return Fail(ErrorCode::kUnavailable, json::serialize(answer.m_body));
+  }
+  return std::move(answer.m_body);
+}
+
+// Polls the status until `done` says so, printing progress when it changes.
+Result<ExitCode> Await(ControlClient& client, const CommandOptions& options,
+                       const std::function<bool(const json::object&)>& done) {
+  const Instant limit = Now() + Millis(options.m_timeout_ms);
+  std::string shown;
+  while (Now() < limit) {
+    BOOST_LEAF_AUTO(status, Status(client));
+    std::ostringstream progress;
+    PrintProgress(progress, status);
+    if (!options.m_json && progress.str() != shown) {
+      shown = progress.str();
+      std::cout << shown << std::flush;
+    }
+    if (done(status)) {
+      return ExitCode::kOk;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  std::cerr << "bronzebarrow: not finished within the timeout\n";
+  return ExitCode::kPending;
+}
+
+Result<ExitCode> RunCheck(ControlClient&, const CommandOptions& options) {
+  BOOST_LEAF_AUTO(plans,
+                  ReadFile(options.m_arguments[0], ErrorCode::kListMalformed));
+  BOOST_LEAF_AUTO(uses,
+                  ReadFile(options.m_arguments[1], ErrorCode::kListMalformed));
+  BOOST_LEAF_AUTO(lists, fleet::Lists::Parse(plans, uses));
+  std::cout << lists.m_plans.size() << " plans and " << lists.m_uses.size()
+            << " uses are valid\n";
+  return ExitCode::kOk;
+}
+
+Result<ExitCode> RunApply(ControlClient& client,
+                          const CommandOptions& options) {
+  BOOST_LEAF_AUTO(plans,
+                  ReadFile(options.m_arguments[0], ErrorCode::kListMalformed));
+  BOOST_LEAF_AUTO(uses,
+                  ReadFile(options.m_arguments[1], ErrorCode::kListMalformed));
+  BOOST_LEAF_CHECK(fleet::Lists::Parse(plans, uses));
+  std::int64_t expect = options.m_expect;
+  if (expect < 0) {
+    BOOST_LEAF_AUTO(status, Status(client));
+    expect = status.at("config_version").to_number<std::int64_t>();
+  }
+  json::object body;
+  body["change_id"] = IdOrNew(options, "change");
+  body["expect_version"] = expect;
+  body["operator"] = options.m_operator;
+  body["plans"] = plans;
+  body["uses"] = uses;
+  BOOST_LEAF_AUTO(answer, client.Call("/v1/apply", &body));
+  const bool success = answer.IsSuccess();
+  const std::string state =
+      success ? Text(answer.m_body.at("state")) : std::string();
+  std::string what;
+  if (success) {
+    what = "version " + Text(answer.m_body.at("version")) + " is " + state;
+    what += state == "pending"
+                ? ", waiting for " + Text(answer.m_body.at("waiting_for"))
+                : " and in force everywhere";
+  }
+  const ExitCode code = Report(answer, options, what);
+  return state == "pending" ? ExitCode::kPending : code;
+}
+
+Result<ExitCode> AnnounceStop(ControlClient& client,
+                              const CommandOptions& options,
+                              const char* reason) {
+  const std::string id = IdOrNew(options, reason);
+  json::object body;
+  body["stop_id"] = id;
+  body["instance"] = options.m_arguments[0];
+  body["reason"] = reason;
+  body["deadline_ms"] = options.m_deadline_ms;
+  BOOST_LEAF_AUTO(answer, client.Call("/v1/stop", &body));
+  const ExitCode code = Report(answer, options, "stop " + id + " announced");
+  if (code != ExitCode::kOk || !options.m_wait) {
+    return code;
+  }
+  bool ended_well = true;
+  BOOST_LEAF_AUTO(waited, Await(client, options, [&](const json::object& now) {
+                    const json::object* stop = FindIn(now, "stops", "id", id);
+                    const std::string state =
+                        stop == nullptr ? "gone" : Text(stop->at("state"));
+                    ended_well = state == "returned";
+                    return state != "draining" && state != "released";
+                  }));
+  if (waited != ExitCode::kOk) {
+    return waited;
+  }
+  std::cout << "stop " << id << (ended_well ? ": returned" : ": did not return")
+            << "\n";
+  return ended_well ? ExitCode::kOk : ExitCode::kRefused;
+}
+
+Result<ExitCode> RunStop(ControlClient& client, const CommandOptions& options) {
+  return AnnounceStop(client, options, "planned");
+}
+
+Result<ExitCode> RunCancel(ControlClient& client,
+                           const CommandOptions& options) {
+  json::object body;
+  body["stop_id"] = options.m_arguments[0];
+  BOOST_LEAF_AUTO(answer, client.Call("/v1/stop/cancel", &body));
+  return Report(answer, options, "stop cancelled if it was still draining");
+}
+
+// A drill is a real stop of one instance of the pool, under the same guard.
+Result<ExitCode> RunDrill(ControlClient& client,
+                          const CommandOptions& options) {
+  const std::string pool = options.m_arguments[0];
+  BOOST_LEAF_AUTO(before, Status(client));
+  CommandOptions stop = options;
+  stop.m_wait = true;
+  stop.m_id = IdOrNew(options, "drill");
+  for (const json::value& item : before.at("instances").as_array()) {
+    const json::object& instance = item.as_object();
+    if (Text(instance.at("pool")) == pool &&
+        Text(instance.at("state")) == "in-service") {
+      stop.m_arguments = {Text(instance.at("name"))};
+      break;
+    }
+  }
+  if (stop.m_arguments[0] == pool) {
+    return Fail(ErrorCode::kInstanceUnavailable,
+                "pool " + pool + " has no instance in service");
+  }
+  BOOST_LEAF_AUTO(code, AnnounceStop(client, stop, "drill"));
+  if (code != ExitCode::kOk) {
+    return code;
+  }
+  BOOST_LEAF_AUTO(after, Status(client));
+  const json::object* record = FindIn(after, "stops", "id", stop.m_id);
+  const auto took_ms =
+      record == nullptr
+          ? 0
+          : record->at("ended_ms").to_number<std::int64_t>() -
+                record->at("announced_ms").to_number<std::int64_t>();
+  std::int64_t least_spare = std::numeric_limits<std::int64_t>::max();
+  for (const json::value& item : after.at("margins").as_array()) {
+    const json::object& margin = item.as_object();
+    if (Text(margin.at("pool")) == pool) {
+      least_spare =
+          std::min(least_spare, margin.at("spare").to_number<std::int64_t>());
+    }
+  }
+  std::cout << "drill report: instance " << stop.m_arguments[0]
+            << " stopped and returned in " << took_ms
+            << " ms; least spare of pool " << pool << " now " << least_spare
+            << "\n";
+  return ExitCode::kOk;
+}
+
+Result<ExitCode> RunWave(ControlClient& client, const CommandOptions& options) {
+  const std::string id = IdOrNew(options, "wave");
+  json::object body;
+  body["wave_id"] = id;
+  body["pool"] = options.m_arguments[0];
+  body["max_width"] = options.m_width;
+  BOOST_LEAF_AUTO(answer, client.Call("/v1/wave", &body));
+  const ExitCode code = Report(answer, options, "wave " + id + " started");
+  if (code != ExitCode::kOk || !options.m_wait) {
+    return code;
+  }
+  std::string state;
+  BOOST_LEAF_AUTO(waited, Await(client, options, [&](const json::object& now) {
+                    const json::object* wave = FindIn(now, "waves", "id", id);
+                    state = wave == nullptr ? "gone" : Text(wave->at("state"));
+                    return state != "running";
+                  }));
+  if (waited != ExitCode::kOk) {
+    return waited;
+  }
+  std::cout << "wave " << id << ": " << state << "\n";
+  return state == "finished" ? ExitCode::kOk : ExitCode::kRefused;
+}
+
+Result<ExitCode> UpdateWave(ControlClient& client,
+                            const CommandOptions& options, const char* action) {
+  json::object body;
+  body["wave_id"] = options.m_arguments[0];
+  body["action"] = action;
+  BOOST_LEAF_AUTO(answer, client.Call("/v1/wave/update", &body));
+  return Report(answer, options, std::string("wave: ") + action);
+}
+
+Result<ExitCode> RunHalt(ControlClient& client, const CommandOptions& options) {
+  return UpdateWave(client, options, "halt");
+}
+
+Result<ExitCode> RunResume(ControlClient& client,
+                           const CommandOptions& options) {
+  return UpdateWave(client, options, "resume");
+}
+
+Result<ExitCode> RunStatus(ControlClient& client,
+                           const CommandOptions& options) {
+  BOOST_LEAF_AUTO(status, Status(client));
+  if (options.m_json) {
+    std::cout << json::serialize(status) << "\n";
+  } else {
+    PrintStatus(std::cout, status);
+  }
+  return ExitCode::kOk;
+}
+
+Result<ExitCode> RunWatch(ControlClient& client,
+                          const CommandOptions& options) {
+  return Await(client, options, [](const json::object&) { return false; });
+}
+
+// Whether every plan is above its floor now, and every entry up to date.
+Result<ExitCode> RunReport(ControlClient& client,
+                           const CommandOptions& options) {
+  BOOST_LEAF_AUTO(status, Status(client));
+  std::size_t below_floor = 0;
+  for (const json::value& item : status.at("margins").as_array()) {
+    const json::object& margin = item.as_object();
+    const auto available = margin.at("available").to_number<std::int64_t>();
+    below_floor += available < margin.at("floor").to_number<std::int64_t>();
+  }
+  std::size_t behind = 0;
+  for (const json::value& item : status.at("entries").as_array()) {
+    const json::object& entry = item.as_object();
+    const bool is_live = entry.at("lease_ms").to_number<std::int64_t>() > 0;
+    behind += is_live && Text(entry.at("config_version")) !=
+                             Text(status.at("config_version"));
+  }
+  json::object report;
+  report["plans_below_floor"] = below_floor;
+  report["live_entries_behind"] = behind;
+  report["config_version"] = status.at("config_version");
+  if (options.m_json) {
+    std::cout << json::serialize(report) << "\n";
+  } else {
+    std::cout << "plans below their floor:     " << below_floor
+              << "\nlive entries on old version: " << behind << "\n";
+  }
+  return below_floor + behind == 0 ? ExitCode::kOk : ExitCode::kBroken;
+}
+
+constexpr Command kCommands[] = {
+    {"check", "PLANS USES", 2, "check the two lists without applying them",
+     RunCheck},
+    {"apply", "PLANS USES", 2,
+     "put both lists in force; --expect, --id, --operator", RunApply},
+    {"stop", "INSTANCE", 1,
+     "announce a planned stop; --id, --deadline_ms, --wait", RunStop},
+    {"cancel", "STOP", 1, "cancel a stop that is still draining", RunCancel},
+    {"drill", "POOL", 1, "stop one instance of the pool for real, and report",
+     RunDrill},
+    {"wave", "POOL", 1,
+     "stop every instance of the pool in turn; --width, --wait", RunWave},
+    {"halt", "WAVE", 1, "halt a wave", RunHalt},
+    {"resume", "WAVE", 1, "resume a halted wave, from a canary", RunResume},
+    {"status", "", 0, "show everything; --json", RunStatus},
+    {"watch", "", 0, "show the progress of stops and waves; --timeout_ms",
+     RunWatch},
+    {"report", "", 0, "tell whether the promises hold now; --json", RunReport},
+};
+
+}  // namespace
+
+std::span<const Command> Commands() { return kCommands; }
+
+}  // namespace bronzebarrow::programs
--- /dev/null
+++ b/src/programs/operator/control_client.cc
@@ -0,0 +1,120 @@
+// HTTP calls to the control group.
+#include "programs/operator/control_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <thread>
+
+namespace bronzebarrow::programs {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+
+constexpr Duration kCallTimeout = Millis(15'000);
+constexpr Duration kConnectTimeout = Millis(1'000);
+constexpr Duration kFindLeaderTimeout = Millis(10'000);
+constexpr Duration kRetryPause = Millis(100);
+constexpr std::size_t kMaxAnswerBytes = 64 << 20;
+
+// Whether another member, or this one a little later, may answer instead.
+bool ShouldTryAgain(const ControlAnswer& answer) {
+  return answer.m_status ==
+             static_cast<unsigned>(http::status::misdirected_request) ||
+         answer.m_status ==
+             static_cast<unsigned>(http::status::service_unavailable);
+}
+
+// Runs the operation that was just started on the stream.
+void RunStarted(asio::io_context& io) {
+  io.restart();
+  io.run();
+}
+
+}  // namespace
+
+Result<ControlAnswer> ControlClient::Call(const std::string& path,
+                                          const json::object* body) {
+  const Instant limit = Now() + kFindLeaderTimeout;
+  Failure last{ErrorCode::kUnavailable, "no member answered"};
+  while (Now() < limit) {
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+      const std::size_t at = (m_next + i) % m_members.size();
+      auto called = Capture<ControlAnswer>(
+          [&] { return CallMember(m_members[at], path, body); });
+      if (const auto* failure = std::get_if<Failure>(&called)) {
+        last = *failure;
+        continue;
+      }
+      auto& answer = std::get<ControlAnswer>(called);
+      if (!ShouldTryAgain(answer)) {
+        m_next = at;
+        return std::move(answer);
+      }
+      last = {ErrorCode::kUnavailable,
+              m_members[at].Text() + " is not leading"};
+    }
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  return Fail(ErrorCode::kUnavailable, last.m_context);
+}
+
+Result<ControlAnswer> ControlClient::CallMember(const Address& member,
+                                                const std::string& path,
+                                                const json::object* body) {
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  beast::error_code error;
+  const auto note = [&error](const beast::error_code& result, auto&&...) {
+    error = result;
+  };
+  stream.expires_after(kConnectTimeout);
+  stream.async_connect({asio::ip::make_address(member.m_host), member.m_port},
+                       note);
+  RunStarted(io);
+  if (error) {
+    return Fail(ErrorCode::kConnectionFailed,
+                member.Text() + ": " + error.message());
+  }
+  http::request<http::string_body> request(
+      body == nullptr ? http::verb::get : http::verb::post, path, 11);
+  request.set(http::field::host, member.Text());
+  if (body != nullptr) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = json::serialize(*body);
+  }
+  request.keep_alive(false);
+  request.prepare_payload();
+  stream.expires_after(kCallTimeout);
+  http::async_write(stream, request, note);
+  RunStarted(io);
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  if (!error) {
+    http::async_read(stream, buffer, parser, note);
+    RunStarted(io);
+  }
+  if (error) {
+    return Fail(ErrorCode::kConnectionFailed,
+                member.Text() + ": " + error.message());
+  }
+  ControlAnswer answer;
+  answer.m_status = parser.get().result_int();
+  const json::value parsed = json::parse(parser.get().body(), error);
+  if (error || !parsed.is_object()) {
+    return Fail(ErrorCode::kConnectionFailed,
+                member.Text() + ": the answer is not JSON");
+  }
+  answer.m_body = parsed.as_object();
+  return answer;
+}
+
+}  // namespace bronzebarrow::programs
--- /dev/null
+++ b/src/programs/operator/control_client.h
@@ -0,0 +1,46 @@
+// The operators' HTTP client: finds the leader of the control group.
+#ifndef BRONZEBARROW_SRC_PROGRAMS_OPERATOR_CONTROL_CLIENT_H_
+#define BRONZEBARROW_SRC_PROGRAMS_OPERATOR_CONTROL_CLIENT_H_
+
+#include <boost/json/object.hpp>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/base.h"
+
+namespace bronzebarrow::programs {
+
+/** An answer of the control group: HTTP status and JSON body. */
+struct ControlAnswer {
+  unsigned m_status = 0;
+  boost::json::object m_body;
+
+  bool IsSuccess() const { return m_status >= 200 && m_status < 300; }
+};
+
+class ControlClient {
+ public:
+  explicit ControlClient(std::vector<Address> members)
+      : m_members(std::move(members)) {}
+
+  /**
+   * Sends one request, to member after member until a leader answers. A
+   * request may reach the leader twice: change, stop and wave ids make that
+   * safe.
+   * @param body sent by POST; GET when it is null
+   */
+  Result<ControlAnswer> Call(const std::string& path,
+                             const boost::json::object* body);
+
+ private:
+  Result<ControlAnswer> CallMember(const Address& member,
+                                   const std::string& path,
+                                   const boost::json::object* body);
+
+  std::vector<Address> m_members;
+  std::size_t m_next = 0;  // The member that answered last.
+};
+
+}  // namespace bronzebarrow::programs
+
+#endif  // BRONZEBARROW_SRC_PROGRAMS_OPERATOR_CONTROL_CLIENT_H_
--- /dev/null
+++ b/src/programs/process_usage.cc
@@ -0,0 +1,45 @@
+// Reads the usage from the kernel and the traffic counters.
+#include "programs/process_usage.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "bronzebarrow/net/traffic.h"
+
+namespace bronzebarrow::programs {
+namespace {
+
+double Seconds(const timeval& time) {
+  constexpr double kMicros = 1e6;
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_usec) / kMicros;
+}
+
+double ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  double total_pages = 0;
+  double resident_pages = 0;
+  statm >> total_pages >> resident_pages;
+  return resident_pages * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace
+
+void PublishProcessUsage(Metrics& metrics) {
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  const net::Traffic& traffic = net::Traffic::Global();
+  metrics.SetGauge("process_cpu_seconds_total", "",
+                   Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  metrics.SetGauge("process_resident_memory_bytes", "", ResidentBytes());
+  metrics.SetGauge("bronzebarrow_frame_bytes_sent_total", "",
+                   static_cast<double>(traffic.m_sent));
+  metrics.SetGauge("bronzebarrow_frame_bytes_received_total", "",
+                   static_cast<double>(traffic.m_received));
+  metrics.SetGauge("bronzebarrow_frames_sent_total", "",
+                   static_cast<double>(traffic.m_frames_sent));
+}
+
+}  // namespace bronzebarrow::programs
--- /dev/null
+++ b/src/programs/process_usage.h
@@ -0,0 +1,14 @@
+// What this process uses: processor time, memory, frames and bytes.
+#ifndef BRONZEBARROW_SRC_PROGRAMS_PROCESS_USAGE_H_
+#define BRONZEBARROW_SRC_PROGRAMS_PROCESS_USAGE_H_
+
+#include "bronzebarrow/base/metrics.h"
+
+namespace bronzebarrow::programs {
+
+/** Sets the gauges of the process's usage. */
+void PublishProcessUsage(Metrics& metrics);
+
+}  // namespace bronzebarrow::programs
+
+#endif  // BRONZEBARROW_SRC_PROGRAMS_PROCESS_USAGE_H_
--- /dev/null
+++ b/src/programs/program.cc
@@ -0,0 +1,47 @@
+// Signals, worker threads and exit codes of the daemons.
+#include "programs/program.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace bronzebarrow::programs {
+
+ExitCode ExitCodeOf(const Failure& failure) {
+  switch (failure.m_code) {
+    case ErrorCode::kDataFolderUnusable:
+    case ErrorCode::kDataFolderForeign:
+    case ErrorCode::kDataFolderInUse:
+    case ErrorCode::kDataFolderNotEmpty:
+    case ErrorCode::kLogDamaged:
+    case ErrorCode::kDiskWriteFailed:
+      return ExitCode::kData;
+    case ErrorCode::kUsage:
+      return ExitCode::kUsage;
+    default:
+      return ExitCode::kSettings;
+  }
+}
+
+void RunUntilSignal(boost::asio::io_context& io, int workers,
+                    std::function<void()> on_stop) {
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([stop = std::move(on_stop)](const auto& error, int) {
+    if (!error) {
+      stop();
+    }
+  });
+  std::vector<std::thread> threads;
+  for (int i = 1; i < workers; ++i) {
+    threads.emplace_back([&io] { io.run(); });
+  }
+  io.run();
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+}  // namespace bronzebarrow::programs
--- /dev/null
+++ b/src/routing/target_table.cc
@@ -0,0 +1,73 @@
+// Merging and expiry of announcements.
+#include "bronzebarrow/routing/target_table.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+namespace bronzebarrow::routing {
+
+AnnounceVerdict TargetTable::Announce(const wire::AnnouncementT& announcement,
+                                      Instant now) {
+  const bool leaving = announcement.state == wire::TargetState::Leaving;
+  const auto left = m_left_incarnation.find(announcement.instance);
+  if (left != m_left_incarnation.end() &&
+      announcement.incarnation <= left->second) {
+    return AnnounceVerdict::kStale;
+  }
+  const auto [it, inserted] = m_targets.try_emplace(announcement.instance);
+  Target& target = it->second;
+  const bool is_new_incarnation =
+      inserted || announcement.incarnation > target.m_incarnation;
+  const bool is_newer =
+      is_new_incarnation || (announcement.incarnation == target.m_incarnation &&
+                             announcement.sequence > target.m_sequence);
+  if (!is_newer) {
+    return AnnounceVerdict::kStale;
+  }
+  const bool starts_leaving = leaving && !target.m_announced_leaving;
+  if (is_new_incarnation) {
+    target.m_announced_leaving = false;
+    target.m_failures = 0;
+    target.m_ejected_until = Instant();
+  }
+  target.m_pool = announcement.pool;
+  target.m_zone = announcement.zone;
+  target.m_rack = announcement.rack;
+  target.m_address = {announcement.host, announcement.port};
+  target.m_slots = announcement.slots;
+  target.m_incarnation = announcement.incarnation;
+  target.m_sequence = announcement.sequence;
+  target.m_announced_leaving = target.m_announced_leaving || leaving;
+  target.m_expires = now + Millis(announcement.ttl_ms);
+  return is_new_incarnation || starts_leaving ? AnnounceVerdict::kNews
+                                              : AnnounceVerdict::kRefreshed;
+}
+
+std::vector<std::string> TargetTable::Expire(Instant now) {
+  std::vector<std::string> expired;
+  for (auto it = m_targets.begin(); it != m_targets.end();) {
+    if (now < it->second.m_expires || it->second.m_in_flight > 0) {
+      ++it;
+      continue;
+    }
+    if (it->second.m_announced_leaving) {
+      m_left_incarnation[it->first] = it->second.m_incarnation;
+    }
+    expired.push_back(it->first);
+    it = m_targets.erase(it);
+  }
+  return expired;
+}
+
+std::uint32_t SlotShare(const std::string& instance, std::uint32_t slots,
+                        std::uint32_t entry_index, std::uint32_t entry_count) {
+  const std::uint32_t whole = slots / entry_count;
+  const std::uint32_t rest = slots % entry_count;
+  const auto turn = static_cast<std::uint32_t>(
+      XXH3_64bits(instance.data(), instance.size()) % entry_count);
+  const std::uint32_t place = (entry_index + turn) % entry_count;
+  return whole + (place < rest ? 1 : 0);
+}
+
+}  // namespace bronzebarrow::routing
--- a/tests/fake_group.cc
+++ b/tests/fake_group.cc
@@ -71,8 +71,8 @@
     }
   }
   node.m_applied = ChainState();
-  node.m_replica = std::make_unique<Replica>(std::move(options),
-                                             node.m_disk.m_state, m_now);
+  node.m_replica =
+      std::make_unique<Replica>(std::move(options), node.m_disk.m_state, m_now);
 }
 
 void FakeGroup::Crash(std::size_t node) {
@@ -134,9 +134,8 @@
       }
       const InTransit message = std::move(it->second);
       it = m_network.erase(it);
-      const bool addressed =
-          message.m_to_generation == 0 ||
-          message.m_to_generation == node.m_id.m_generation;
+      const bool addressed = message.m_to_generation == 0 ||
+                             message.m_to_generation == node.m_id.m_generation;
       if (node.m_replica && addressed) {
         node.m_replica->Receive(message.m_from_id, message.m_body, m_now);
         Drain(message.m_to);
@@ -179,10 +178,9 @@
     }
     const int copies = Chance(m_faults.m_duplicate) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-      m_network.emplace(
-          m_now + RandomDuration(m_faults.m_max_delay),
-          InTransit{from, to, m_nodes[from].m_id, message.m_to.m_generation,
-                    message.m_body});
+      m_network.emplace(m_now + RandomDuration(m_faults.m_max_delay),
+                        InTransit{from, to, m_nodes[from].m_id,
+                                  message.m_to.m_generation, message.m_body});
     }
   }
 }
@@ -247,7 +245,8 @@
   std::optional<std::size_t> leader;
   for (std::size_t i = 0; i < m_nodes.size(); ++i) {
     Replica* replica = m_nodes[i].m_replica.get();
-    if (replica != nullptr && !m_nodes[i].m_frozen && replica->IsReadyLeader() &&
+    if (replica != nullptr && !m_nodes[i].m_frozen &&
+        replica->IsReadyLeader() &&
         (!leader || replica->term() > node(*leader)->term())) {
       leader = i;
     }
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -25,14 +25,14 @@
  public:
   void ElectsOneLeader() {
     FakeGroup group(3, 1);
-    CPPUNIT_ASSERT(
-        group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000)));
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.Leader().has_value(); },
+                                  Millis(5000)));
   }
 
   void CommitsAndReplicates() {
     FakeGroup group(3, 2);
-    CPPUNIT_ASSERT(
-        group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000)));
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.Leader().has_value(); },
+                                  Millis(5000)));
     for (int i = 0; i < 50; ++i) {
       group.ProposeEverywhere();
       group.Run(Millis(20));
@@ -75,8 +75,8 @@
     CPPUNIT_ASSERT(group.node(lost)->role() == Role::kLearner);
     const auto replaced = [&] {
       const auto leader = group.Leader();
-      return leader && group.node(*leader)->membership().IsVoter(
-                           group.node(lost)->id());
+      return leader &&
+             group.node(*leader)->membership().IsVoter(group.node(lost)->id());
     };
     CPPUNIT_ASSERT(group.RunUntil(replaced, Millis(20000)));
     const Membership& after = group.node(group.Leader().value())->membership();
@@ -86,8 +86,8 @@
 
   void SingleReplicaCommitsAlone() {
     FakeGroup group(1, 5);
-    CPPUNIT_ASSERT(
-        group.RunUntil([&] { return group.Leader().has_value(); }, Millis(5000)));
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.Leader().has_value(); },
+                                  Millis(5000)));
     group.ProposeEverywhere();
     CPPUNIT_ASSERT(group.RunUntil([&] { return group.AppliedIndex(0) >= 2; },
                                   Millis(1000)));
