--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -56,6 +56,6 @@
   operate report
 
 echo "== status"
-operate status | head -n 30
+operate status | sed -n 1,30p
 [ "$broken" -eq 0 ] && echo "every promise held" || echo "a promise BROKE"
 exit "$broken"
--- /dev/null
+++ b/tests/fleet_test.cc
@@ -0,0 +1,339 @@
+// Lists, stops, waves and the guard.
+#include "bronzebarrow/fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace bronzebarrow::fleet {
+namespace {
+
+constexpr std::uint64_t kSeeds = 2000;
+constexpr std::uint64_t kStartMs = 1'000'000;
+
+constexpr const char* kPlans =
+    "[huts]\nclass = urgent\npool = p\nquota = 10\n"
+    "[lists]\nclass = overnight\npool = p\nquota = 10\n";
+constexpr const char* kUses =
+    "[huts/p]\nzones = a, b, c\nracks = any\nfloor = 4\nsurvive = zone\n"
+    "[lists/p]\nzones = any\nracks = any\nfloor = 1\nsurvive = none\n";
+
+class FleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetTest);
+  CPPUNIT_TEST(ParsesBothLists);
+  CPPUNIT_TEST(RefusesBadListsNamingLinePlanAndReason);
+  CPPUNIT_TEST(StopRunsThroughItsLifecycle);
+  CPPUNIT_TEST(GuardRefusesAStopBelowTheFloor);
+  CPPUNIT_TEST(SecondStopOfAnInstanceIsRefused);
+  CPPUNIT_TEST(ExpiredStopGivesTheInstanceBack);
+  CPPUNIT_TEST(InstanceStaysInItsPool);
+  CPPUNIT_TEST(WaveStartsWithACanaryAndWidens);
+  CPPUNIT_TEST(WaveHaltsWhenAReturnedInstanceIsLost);
+  CPPUNIT_TEST(ImageKeepsEverything);
+  CPPUNIT_TEST(PlannedStepsNeverPassTheFloor);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_lists = ParseLists(kPlans, kUses);
+    m_fleet = Fleet();
+    m_fleet.SetLists(&m_lists);
+    m_now = kStartMs;
+    for (int i = 0; i < 10; ++i) {
+      Present(i, 1);
+    }
+  }
+
+  void ParsesBothLists() {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_lists.m_plans.size());
+    const Use* use = m_lists.FindUse("huts", "p");
+    CPPUNIT_ASSERT(use != nullptr && use->Admits("a", "any-rack"));
+    CPPUNIT_ASSERT(!use->Admits("z", "any-rack"));
+  }
+
+  void RefusesBadListsNamingLinePlanAndReason() {
+    struct Case {
+      std::string m_plans;
+      std::string m_uses;
+      ErrorCode m_code;
+      const char* m_text;
+    };
+    const std::string plans = kPlans;
+    const std::string uses = kUses;
+    const Case cases[] = {
+        {"[huts]\nclass = rush\npool = p\nquota = 1\n", uses,
+         ErrorCode::kListValueInvalid, "plans list, line 2, plan \"huts\""},
+        {"[huts]\nclass = urgent\npool = p\nquota = 0\n", uses,
+         ErrorCode::kListValueInvalid, "line 4"},
+        {"[huts]\nclass = urgent\npool = p\n", uses,
+         ErrorCode::kListMissingKey, "\"quota\" is missing"},
+        {"[huts]\nclass = urgent\npool = p\nquota = 1\nqouta = 2\n", uses,
+         ErrorCode::kListUnknownKey, "line 5"},
+        {"[huts]\nclass = urgent\nclass = normal\n", uses,
+         ErrorCode::kListMalformed, "line 3"},
+        {plans, uses + "[ghost/p]\nzones = any\nracks = any\nfloor = 1\n"
+                       "survive = none\n",
+         ErrorCode::kListUnknownPlan, "ghost"},
+        {plans + "[other]\nclass = normal\npool = q\nquota = 1\n", uses,
+         ErrorCode::kListMissingKey, "[other/q]"},
+        {plans, "[huts]\nzones = any\n", ErrorCode::kListValueInvalid,
+         "[plan/pool]"},
+        {plans, "[huts/p]\nzones = ,\nracks = any\nfloor = 1\nsurvive = none\n",
+         ErrorCode::kListValueInvalid, "write \"any\""},
+    };
+    for (const Case& item : cases) {
+      const auto parsed = Capture<Lists>(
+          [&] { return Lists::Parse(item.m_plans, item.m_uses); });
+      const auto* failure = std::get_if<Failure>(&parsed);
+      CPPUNIT_ASSERT_MESSAGE(item.m_text, failure != nullptr);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(failure->m_context,
+                                   std::string(NameOf(item.m_code)),
+                                   std::string(NameOf(failure->m_code)));
+      CPPUNIT_ASSERT_MESSAGE(
+          failure->m_context,
+          failure->m_context.find(item.m_text) != std::string::npos);
+    }
+  }
+
+  void StopRunsThroughItsLifecycle() {
+    AssertCode(ErrorCode::kOk, Stop("s1", 0));
+    CPPUNIT_ASSERT(StateOf(0) == InstanceState::kDraining);
+    AssertCode(ErrorCode::kOk, Stop("s1", 0));
+    End("s1", wire::StopUpdateKind::Release);
+    CPPUNIT_ASSERT(StateOf(0) == InstanceState::kStopped);
+    Present(0, 1);
+    CPPUNIT_ASSERT(StateOf(0) == InstanceState::kStopped);
+    Present(0, 2);
+    CPPUNIT_ASSERT(StateOf(0) == InstanceState::kProbation);
+    CPPUNIT_ASSERT(m_fleet.stops().at("s1").m_state == StopState::kReturned);
+    m_fleet.AdvanceTime(m_now + kProbationMs);
+    CPPUNIT_ASSERT(StateOf(0) == InstanceState::kInService);
+  }
+
+  // 10 over zones of 4, 3 and 3: the worst zone is 4, the floor 4.
+  void GuardRefusesAStopBelowTheFloor() {
+    AssertCode(ErrorCode::kOk, Stop("s1", 1));
+    AssertCode(ErrorCode::kOk, Stop("s2", 2));
+    const Outcome third = Stop("s3", 4);
+    AssertCode(ErrorCode::kBudgetExceeded, third);
+    CPPUNIT_ASSERT(third.m_context.find("huts") != std::string::npos);
+    CPPUNIT_ASSERT(StateOf(4) == InstanceState::kInService);
+  }
+
+  void SecondStopOfAnInstanceIsRefused() {
+    Stop("s1", 0);
+    AssertCode(ErrorCode::kStopInProgress, Stop("s2", 0));
+    AssertCode(ErrorCode::kStopIdReused, Stop("s1", 1));
+    AssertCode(ErrorCode::kInstanceUnknown, Stop("s3", 77));
+  }
+
+  void ExpiredStopGivesTheInstanceBack() {
+    Stop("s1", 0);
+    End("s1", wire::StopUpdateKind::Expire);
+    CPPUNIT_ASSERT(Serves(StateOf(0)));
+    CPPUNIT_ASSERT(m_fleet.stops().at("s1").m_state == StopState::kExpired);
+  }
+
+  void InstanceStaysInItsPool() {
+    wire::ObservationT other = MakeObservation(0, 5, true);
+    other.pool = "q";
+    AssertCode(ErrorCode::kInstanceUnavailable, m_fleet.Observe(other, m_now));
+    CPPUNIT_ASSERT_EQUAL(std::string("p"),
+                         m_fleet.instances().at(Name(0)).m_pool);
+  }
+
+  void WaveStartsWithACanaryAndWidens() {
+    StartWave("w", 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StepWaves());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, StepWaves());
+    FinishActive();
+    m_now += kProbationMs;
+    m_fleet.AdvanceTime(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, m_fleet.waves().at("w").m_width);
+    for (int round = 0; round < 200; ++round) {
+      StepWaves();
+      FinishActive();
+      m_now += kProbationMs;
+      m_fleet.AdvanceTime(m_now);
+    }
+    CPPUNIT_ASSERT(m_fleet.waves().at("w").m_state == WaveState::kFinished);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, m_fleet.waves().at("w").m_done.size());
+  }
+
+  void WaveHaltsWhenAReturnedInstanceIsLost() {
+    StartWave("w", 4);
+    StepWaves();
+    FinishActive();
+    const std::string canary = m_fleet.waves().at("w").m_done.front();
+    wire::ObservationT gone;
+    gone.instance = canary;
+    gone.incarnation = m_fleet.instances().at(canary).m_incarnation;
+    m_fleet.Observe(gone, m_now);
+    CPPUNIT_ASSERT(m_fleet.waves().at("w").m_state == WaveState::kHalted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, StepWaves());
+  }
+
+  void ImageKeepsEverything() {
+    Stop("s1", 0);
+    StartWave("w", 2);
+    StepWaves();
+    wire::ControlImageT image;
+    m_fleet.ToWire(image);
+    Fleet copy;
+    copy.SetLists(&m_lists);
+    copy.FromWire(image);
+    wire::ControlImageT again;
+    copy.ToWire(again);
+    CPPUNIT_ASSERT(wire::ControlImageT(image).stops.size() ==
+                   again.stops.size());
+    CPPUNIT_ASSERT_EQUAL(m_fleet.version(), copy.version());
+    CPPUNIT_ASSERT_EQUAL(m_fleet.waves().at("w").m_active.size(),
+                         copy.waves().at("w").m_active.size());
+  }
+
+  // Stops, losses, returns and waves in any order: a planned step is taken
+  // only while every use stays at its floor with its worst domain lost.
+  void PlannedStepsNeverPassTheFloor() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      setUp();
+      std::mt19937_64 random(seed);
+      std::uint64_t incarnation = 1;
+      StartWave("w", 1 + static_cast<std::uint32_t>(random() % 4));
+      for (int step = 0; step < 80; ++step) {
+        m_now += random() % 4000;
+        m_fleet.AdvanceTime(m_now);
+        const int node = static_cast<int>(random() % 10);
+        switch (random() % 5) {
+          case 0:
+            CheckPlanned([&] {
+              return Stop("s" + std::to_string(step), node).ok();
+            });
+            break;
+          case 1:
+            m_fleet.Observe(
+                MakeObservation(
+                    node, m_fleet.instances().at(Name(node)).m_incarnation,
+                    false),
+                m_now);
+            break;
+          case 2:
+            Present(node, ++incarnation);
+            break;
+          case 3:
+            CheckPlanned([&] { return StepWaves() > 0; });
+            break;
+          default:
+            ReleaseAll();
+            break;
+        }
+      }
+    }
+  }
+
+ private:
+  static Lists ParseLists(const std::string& plans, const std::string& uses) {
+    auto parsed = Capture<Lists>([&] { return Lists::Parse(plans, uses); });
+    CPPUNIT_ASSERT(std::holds_alternative<Lists>(parsed));
+    return std::get<Lists>(parsed);
+  }
+
+  static std::string Name(int node) { return "p-" + std::to_string(node); }
+
+  static wire::ObservationT MakeObservation(int node,
+                                            std::uint64_t incarnation,
+                                            bool present) {
+    wire::ObservationT observation;
+    observation.instance = Name(node);
+    observation.pool = "p";
+    observation.zone = std::string(1, static_cast<char>('a' + node % 3));
+    observation.rack = observation.zone + "-r";
+    observation.incarnation = incarnation;
+    observation.present = present;
+    return observation;
+  }
+
+  void Present(int node, std::uint64_t incarnation) {
+    AssertCode(ErrorCode::kOk,
+               m_fleet.Observe(MakeObservation(node, incarnation, true), m_now));
+  }
+
+  InstanceState StateOf(int node) {
+    return m_fleet.instances().at(Name(node)).m_state;
+  }
+
+  Outcome Stop(const std::string& id, int node) {
+    wire::AnnounceStopT stop;
+    stop.stop_id = id;
+    stop.instance = Name(node);
+    stop.deadline_ms = 60'000;
+    return m_fleet.Announce(stop, m_now);
+  }
+
+  void End(const std::string& id, wire::StopUpdateKind kind) {
+    wire::UpdateStopT update;
+    update.stop_id = id;
+    update.kind = kind;
+    AssertCode(ErrorCode::kOk, m_fleet.Update(update, m_now));
+  }
+
+  void StartWave(const std::string& id, std::uint32_t width) {
+    wire::StartWaveT wave;
+    wave.wave_id = id;
+    wave.pool = "p";
+    wave.max_width = width;
+    AssertCode(ErrorCode::kOk, m_fleet.Start(wave, m_now));
+  }
+
+  std::size_t StepWaves() {
+    std::size_t steps = 0;
+    for (const wire::AnnounceStopT& stop : m_fleet.NextWaveStops(m_now)) {
+      steps += m_fleet.Announce(stop, m_now).ok() ? 1 : 0;
+    }
+    return steps;
+  }
+
+  void ReleaseAll() {
+    std::vector<std::string> draining;
+    for (const auto& [id, stop] : m_fleet.stops()) {
+      if (stop.m_state == StopState::kDraining) {
+        draining.push_back(id);
+      }
+    }
+    for (const std::string& id : draining) {
+      End(id, wire::StopUpdateKind::Release);
+    }
+  }
+
+  void FinishActive() {
+    ReleaseAll();
+    for (int node = 0; node < 10; ++node) {
+      if (StateOf(node) == InstanceState::kStopped) {
+        Present(node, m_fleet.instances().at(Name(node)).m_incarnation + 1);
+      }
+    }
+  }
+
+  template <typename Step>
+  void CheckPlanned(Step step) {
+    if (!step()) {
+      return;
+    }
+    for (const Margin& margin : m_fleet.Margins()) {
+      CPPUNIT_ASSERT(margin.Spare() >= 0);
+    }
+  }
+
+  static void AssertCode(ErrorCode code, const Outcome& outcome) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(outcome.m_context, std::string(NameOf(code)),
+                                 std::string(NameOf(outcome.m_code)));
+  }
+
+  Lists m_lists;
+  Fleet m_fleet;
+  std::uint64_t m_now = kStartMs;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+
+}  // namespace
+}  // namespace bronzebarrow::fleet
--- /dev/null
+++ b/tests/ledger_test.cc
@@ -0,0 +1,179 @@
+// The ledger: one grant per key, over resends, races, expiry and images.
+#include "bronzebarrow/ledger.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace bronzebarrow::ledger {
+namespace {
+
+using wire::LedgerOp;
+using wire::LedgerVerdict;
+
+constexpr std::uint64_t kStartMs = 1'800'000'000'000;
+constexpr std::uint64_t kSeeds = 2000;
+
+class LedgerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LedgerTest);
+  CPPUNIT_TEST(GrantsOnceAndReplaysTheAnswer);
+  CPPUNIT_TEST(RefusalIsFinal);
+  CPPUNIT_TEST(OnlyTheHolderTurnsItsGrantIntoARefusal);
+  CPPUNIT_TEST(RefusesOtherContentUnderTheSameKey);
+  CPPUNIT_TEST(ExpiredKeyNeverLooksNew);
+  CPPUNIT_TEST(RefusesKeysThatCarryNoTime);
+  CPPUNIT_TEST(LargeAnswerIsKeptAsItsStatus);
+  CPPUNIT_TEST(ImageKeepsEveryRecord);
+  CPPUNIT_TEST(NeverGrantsTwiceUnderRandomRaces);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_ledger = Ledger();
+    m_now = kStartMs;
+    m_key = MakeKey(kStartMs, m_random);
+  }
+
+  void GrantsOnceAndReplaysTheAnswer() {
+    AssertVerdict(LedgerVerdict::Granted, Send(LedgerOp::Grant, "a", 1));
+    AssertVerdict(LedgerVerdict::Granted, Send(LedgerOp::Grant, "a", 1));
+    AssertVerdict(LedgerVerdict::InProgress, Send(LedgerOp::Grant, "a", 2));
+    AssertVerdict(LedgerVerdict::InProgress, Send(LedgerOp::Grant, "b", 1));
+    AssertVerdict(LedgerVerdict::Completed, Send(LedgerOp::Complete, "a", 1));
+    const LedgerAnswer replay = Send(LedgerOp::Grant, "b", 1);
+    AssertVerdict(LedgerVerdict::Completed, replay);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{201}, replay.m_status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replay.m_body.size());
+  }
+
+  void RefusalIsFinal() {
+    AssertVerdict(LedgerVerdict::Refused, Send(LedgerOp::Refuse, "a", 1));
+    AssertVerdict(LedgerVerdict::Refused, Send(LedgerOp::Grant, "b", 1));
+    AssertVerdict(LedgerVerdict::Refused, Send(LedgerOp::Complete, "b", 1));
+  }
+
+  void OnlyTheHolderTurnsItsGrantIntoARefusal() {
+    Send(LedgerOp::Grant, "a", 1);
+    AssertVerdict(LedgerVerdict::InProgress, Send(LedgerOp::Refuse, "b", 1));
+    AssertVerdict(LedgerVerdict::InProgress, Send(LedgerOp::Complete, "b", 1));
+    AssertVerdict(LedgerVerdict::Refused, Send(LedgerOp::Refuse, "a", 1));
+    Send(LedgerOp::Complete, "a", 1);
+    AssertVerdict(LedgerVerdict::Refused, Send(LedgerOp::Grant, "c", 1));
+  }
+
+  void RefusesOtherContentUnderTheSameKey() {
+    Send(LedgerOp::Grant, "a", 1);
+    m_digest = 99;
+    AssertVerdict(LedgerVerdict::DigestMismatch, Send(LedgerOp::Grant, "b", 1));
+    AssertVerdict(LedgerVerdict::DigestMismatch,
+                  Send(LedgerOp::Refuse, "b", 1));
+    m_digest = 7;
+  }
+
+  void ExpiredKeyNeverLooksNew() {
+    Send(LedgerOp::Grant, "a", 1);
+    m_now += kKeyRetentionMs + 1;
+    AssertVerdict(LedgerVerdict::Expired, Send(LedgerOp::Grant, "b", 1));
+    AssertVerdict(LedgerVerdict::Expired, Send(LedgerOp::Refuse, "b", 1));
+    AssertVerdict(LedgerVerdict::Expired, Send(LedgerOp::Complete, "a", 1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_ledger.size());
+  }
+
+  void RefusesKeysThatCarryNoTime() {
+    for (const char* key :
+         {"", "x", "6ba7b810-9dad-11d1-80b4-00c04fd430c8",
+          "01a23f52-b98e-739e-92fb-7980c069580",
+          "01a23f52-b98e-739e-92fb-7980c069580z"}) {
+      m_key = key;
+      AssertVerdict(LedgerVerdict::KeyInvalid, Send(LedgerOp::Grant, "a", 1));
+    }
+    m_key = MakeKey(kStartMs + kMaxClockSkewMs + 1, m_random);
+    AssertVerdict(LedgerVerdict::KeyInvalid, Send(LedgerOp::Grant, "a", 1));
+  }
+
+  void LargeAnswerIsKeptAsItsStatus() {
+    Send(LedgerOp::Grant, "a", 1);
+    m_body.assign(kMaxStoredAnswerBytes + 1, 'x');
+    Send(LedgerOp::Complete, "a", 1);
+    const LedgerAnswer replay = Send(LedgerOp::Grant, "b", 1);
+    AssertVerdict(LedgerVerdict::Completed, replay);
+    CPPUNIT_ASSERT(replay.m_body.empty());
+    m_body = {'o', 'k'};
+  }
+
+  void ImageKeepsEveryRecord() {
+    Send(LedgerOp::Grant, "a", 1);
+    Send(LedgerOp::Complete, "a", 1);
+    Ledger copy;
+    copy.FromWire(m_ledger.ToWire());
+    m_ledger = std::move(copy);
+    AssertVerdict(LedgerVerdict::Completed, Send(LedgerOp::Grant, "b", 1));
+    m_now += kKeyRetentionMs + 1;
+    AssertVerdict(LedgerVerdict::Expired, Send(LedgerOp::Grant, "b", 1));
+  }
+
+  // Several holders send grants, refusals and completions for a few keys in
+  // any order; each key is granted to at most one attempt, and never after a
+  // refusal was answered.
+  void NeverGrantsTwiceUnderRandomRaces() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      setUp();
+      std::mt19937_64 random(seed);
+      std::vector<std::string> keys;
+      for (int i = 0; i < 4; ++i) {
+        keys.push_back(MakeKey(kStartMs, random));
+      }
+      std::map<std::string, std::set<std::string>> granted;
+      std::set<std::string> refused;
+      for (int step = 0; step < 120; ++step) {
+        m_key = keys[random() % keys.size()];
+        m_now += random() % (kKeyRetentionMs / 40);
+        const std::string holder(1, static_cast<char>('a' + random() % 3));
+        const std::uint64_t attempt = random() % 3;
+        const auto op = static_cast<LedgerOp>(random() % 3);
+        const auto verdict = Send(op, holder, attempt).m_verdict;
+        if (verdict == LedgerVerdict::Granted) {
+          CPPUNIT_ASSERT(!refused.contains(m_key));
+          granted[m_key].insert(holder + std::to_string(attempt));
+        }
+        if (verdict == LedgerVerdict::Refused) {
+          refused.insert(m_key);
+        }
+        CPPUNIT_ASSERT(granted[m_key].size() <= 1);
+      }
+    }
+  }
+
+ private:
+  LedgerAnswer Send(LedgerOp op, const std::string& holder,
+                    std::uint64_t attempt) {
+    wire::LedgerCommandT command;
+    command.op = op;
+    command.key = m_key;
+    command.digest = m_digest;
+    command.holder = holder;
+    command.attempt = attempt;
+    command.status = 201;
+    command.body = m_body;
+    return m_ledger.Apply(command, m_now);
+  }
+
+  static void AssertVerdict(LedgerVerdict expected,
+                            const LedgerAnswer& answer) {
+    CPPUNIT_ASSERT_EQUAL(std::string(wire::EnumNameLedgerVerdict(expected)),
+                         std::string(wire::EnumNameLedgerVerdict(
+                             answer.m_verdict)));
+  }
+
+  Ledger m_ledger;
+  std::mt19937_64 m_random{1};
+  std::uint64_t m_now = kStartMs;
+  std::uint64_t m_digest = 7;
+  std::vector<std::uint8_t> m_body = {'o', 'k'};
+  std::string m_key;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LedgerTest);
+
+}  // namespace
+}  // namespace bronzebarrow::ledger
