--- a/include/bronzebarrow/control.h
+++ b/include/bronzebarrow/control.h
@@ -2,6 +2,7 @@
 #ifndef BRONZEBARROW_CONTROL_H_
 #define BRONZEBARROW_CONTROL_H_
 
+#include "bronzebarrow/control/control_core.h"
 #include "bronzebarrow/control/control_state.h"
 #include "bronzebarrow/control/lease_keeper.h"
 
--- a/src/programs/control/control_duties.cc
+++ b/src/control/control_core_duties.cc
@@ -1,30 +1,31 @@
-// ControlNode: what the leader does by itself: releases drained stops, moves
+// ControlCore: what the leader does by itself: releases drained stops, moves
 // waves on and records which instances are there.
+#include <algorithm>
 #include <utility>
 
-#include "programs/control/control_node.h"
+#include "bronzebarrow/base/event_log.h"
+#include "bronzebarrow/control/control_core.h"
 
-namespace bronzebarrow::programs {
+namespace bronzebarrow::control {
 namespace {
 
 constexpr Duration kDutyInterval = Millis(100);
 
 }  // namespace
 
-void ControlNode::RunDuties(Instant now) {
-  if (!LeadsReady() || now < m_next_duty || m_duties_in_flight > 0) {
+void ControlCore::RunDuties() {
+  if (!LeadsReady() || m_moment.m_now < m_next_duty || m_duties_in_flight > 0) {
     return;
   }
-  m_next_duty = now + kDutyInterval;
-  WatchStops(now);
+  m_next_duty = m_moment.m_now + kDutyInterval;
+  WatchStops();
   WatchWaves();
-  WatchInstances(now);
-  Drain();
+  WatchInstances();
 }
 
-void ControlNode::ProposeDuty(wire::CommandBodyUnion body) {
+void ControlCore::ProposeDuty(wire::CommandBodyUnion body) {
   const bool proposed =
-      Propose(std::move(body), [this](const control::ApplyResult* result) {
+      ProposeNow(std::move(body), [this](const ApplyResult* result) {
         m_duties_in_flight -= result != nullptr ? 1 : 0;
         if (result != nullptr && !result->m_outcome.ok()) {
           EventLine(Event::kStopRefused, Severity::kWarning)
@@ -35,19 +36,19 @@
   m_duties_in_flight += proposed ? 1 : 0;
 }
 
-void ControlNode::WatchStops(Instant now) {
+void ControlCore::WatchStops() {
   for (const auto& [id, stop] : m_state.fleet().stops()) {
     if (stop.m_state != fleet::StopState::kDraining) {
       continue;
     }
     wire::UpdateStopT update;
     update.stop_id = id;
-    if (m_keeper->NotDrained(id, now).empty()) {
+    if (m_keeper->NotDrained(id, m_moment.m_now).empty()) {
       EventLine(Event::kStopReleased)
           .Field("stop", id)
           .Field("instance", stop.m_instance);
       update.kind = wire::StopUpdateKind::Release;
-    } else if (WallMillis() > stop.m_deadline_ms) {
+    } else if (m_moment.m_wall_ms > stop.m_deadline_ms) {
       EventLine(Event::kStopEnded, Severity::kWarning)
           .Field("stop", id)
           .Field("instance", stop.m_instance)
@@ -62,7 +63,7 @@
   }
 }
 
-void ControlNode::WatchWaves() {
+void ControlCore::WatchWaves() {
   for (wire::AnnounceStopT& stop :
        m_state.fleet().NextWaveStops(m_state.time_ms())) {
     EventLine(Event::kWaveUpdated)
@@ -72,7 +73,8 @@
     body.Set(std::move(stop));
     ProposeDuty(std::move(body));
   }
-  for (const std::string& wave : m_state.fleet().OverdueWaves(WallMillis())) {
+  for (const std::string& wave :
+       m_state.fleet().OverdueWaves(m_moment.m_wall_ms)) {
     wire::UpdateWaveT update;
     update.wave_id = wave;
     update.kind = wire::WaveUpdateKind::Halt;
@@ -82,11 +84,11 @@
   }
 }
 
-void ControlNode::WatchInstances(Instant now) {
-  const auto present = m_keeper->Present(now);
+// Instances whose presence or incarnation the records do not show yet.
+wire::ObserveInstancesT ControlCore::NewObservations() {
+  const auto present = m_keeper->Present(m_moment.m_now);
   const auto& records = m_state.fleet().instances();
   wire::ObserveInstancesT changes;
-  bool probation_is_due = false;
   for (const auto& [name, observation] : present) {
     const auto record = records.find(name);
     if (record != records.end() && record->second.m_pool != observation.pool) {
@@ -107,21 +109,30 @@
           std::make_unique<wire::ObservationT>(observation));
     }
   }
-  const bool view_is_complete = m_keeper->ViewIsComplete(now);
+  if (!m_keeper->ViewIsComplete(m_moment.m_now)) {
+    return changes;
+  }
   for (const auto& [name, instance] : records) {
-    probation_is_due |=
-        instance.m_state == fleet::InstanceState::kProbation &&
-        WallMillis() >= instance.m_since_ms + fleet::kProbationMs;
-    if (!view_is_complete || !fleet::Serves(instance.m_state) ||
-        present.contains(name)) {
-      continue;
+    if (fleet::Serves(instance.m_state) && !present.contains(name)) {
+      auto missing = std::make_unique<wire::ObservationT>();
+      missing->instance = name;
+      missing->pool = instance.m_pool;
+      missing->incarnation = instance.m_incarnation;
+      changes.observations.push_back(std::move(missing));
     }
-    auto missing = std::make_unique<wire::ObservationT>();
-    missing->instance = name;
-    missing->pool = instance.m_pool;
-    missing->incarnation = instance.m_incarnation;
-    changes.observations.push_back(std::move(missing));
   }
+  return changes;
+}
+
+void ControlCore::WatchInstances() {
+  wire::ObserveInstancesT changes = NewObservations();
+  const auto& records = m_state.fleet().instances();
+  const bool probation_is_due =
+      std::any_of(records.begin(), records.end(), [&](const auto& item) {
+        const fleet::Instance& instance = item.second;
+        return instance.m_state == fleet::InstanceState::kProbation &&
+               m_moment.m_wall_ms >= instance.m_since_ms + fleet::kProbationMs;
+      });
   if (changes.observations.empty() && !probation_is_due) {
     return;
   }
@@ -136,4 +147,4 @@
   ProposeDuty(std::move(body));
 }
 
-}  // namespace bronzebarrow::programs
+}  // namespace bronzebarrow::control
--- a/src/programs/control/control_node.h
+++ b/src/programs/control/control_node.h
@@ -1,5 +1,4 @@
-// One member of the control group: the shell round the consensus core, the
-// control state and the lease keeper.
+// One member of the control group: the shell round the control core.
 #ifndef BRONZEBARROW_SRC_PROGRAMS_CONTROL_CONTROL_NODE_H_
 #define BRONZEBARROW_SRC_PROGRAMS_CONTROL_CONTROL_NODE_H_
 
@@ -25,6 +24,9 @@
 
 namespace bronzebarrow::programs {
 
+/** @return both clocks now. */
+inline control::Moment CurrentMoment() { return {Now(), WallMillis()}; }
+
 /**
  * All members are touched on m_strand only. Writes to disk run on a thread of
  * their own, one batch at a time, and their completion returns to the strand.
@@ -42,55 +44,16 @@
       const net::HttpRequest& request);
 
  private:
-  /** A connected entry or peer, as far as it said who it is. */
-  struct Session {
-    std::string m_entry;
-    std::uint64_t m_pushed_config = 0;
-    std::uint64_t m_pushed_fleet = 0;
-  };
-  /** An action that waits for a proof of leadership. */
-  struct PendingProof {
-    std::uint64_t m_round = 0;
-    std::uint64_t m_read_index = 0;
-    std::function<void(bool proven)> m_done;
-  };
-  using OnApplied = std::function<void(const control::ApplyResult*)>;
-
   // Events.
   void OnFrame(const net::FrameConnectionPtr& connection,
                std::unique_ptr<wire::FrameT> frame);
-  void OnLeaseRequest(const net::FrameConnectionPtr& connection,
-                      const std::string& entry,
-                      const wire::LeaseRequestT& request);
-  void OnLedgerRequest(const net::FrameConnectionPtr& connection,
-                       const wire::LedgerRequestT& request);
+  void OnClosed(const net::FrameConnectionPtr& connection);
   void ScheduleTick();
 
-  // Consensus.
-  void Drain();
-  void SendMessages();
+  /** Carries out what the core asks for. */
+  void Flush();
+  void SendToPeer(consensus::Outgoing message);
   void StartBatch();
-  void ApplyCommitted();
-  void NoteRole();
-  void CompactIfLong();
-  bool Propose(wire::CommandBodyUnion body, OnApplied on_applied);
-  void RequestProof(std::function<void(bool proven)> done);
-  void SettleProofs();
-  void FailWaiting();
-  bool LeadsReady() const;
-
-  // Leader's duties.
-  void RunDuties(Instant now);
-  void ProposeDuty(wire::CommandBodyUnion body);
-  void WatchStops(Instant now);
-  void WatchWaves();
-  void WatchInstances(Instant now);
-
-  // Entries.
-  void Reply(const net::FrameConnectionPtr& connection, wire::BodyUnion body);
-  void PushState(const net::FrameConnectionPtr& connection, Session& session);
-  void PushStateToAll();
-  wire::StateUpdateT MakeUpdate(bool with_lists) const;
 
   // Operators.
   struct CallResult {
@@ -127,23 +90,14 @@
   boost::asio::steady_timer m_tick;
 
   std::unique_ptr<consensus::LogStore> m_store;
-  consensus::Replica m_replica;
-  control::ControlState m_state;
-  std::uint64_t m_applied_index = 0;
-  std::uint64_t m_last_compacted = 0;
-  consensus::Role m_last_role = consensus::Role::kLearner;
-  std::uint64_t m_last_term = 0;
-
-  std::optional<control::LeaseKeeper> m_keeper;  // While leading.
-  std::map<std::uint64_t, OnApplied> m_waiting;  // By command token.
-  std::vector<PendingProof> m_proofs;
-  std::uint64_t m_next_token = 0;
-  Instant m_next_duty;
-  int m_duties_in_flight = 0;
-  std::set<std::string> m_refused_observations;
+  consensus::ReplicaId m_id;
+  control::ControlCore m_core;
 
   std::map<std::string, std::shared_ptr<net::FrameDialer>> m_peers;
-  std::map<net::FrameConnectionPtr, Session> m_sessions;
+  // Both ways between connections and the core's sessions.
+  std::map<net::FrameConnectionPtr, control::SessionId> m_session_ids;
+  std::map<control::SessionId, net::FrameConnectionPtr> m_connections;
+  control::SessionId m_next_session = 1;
   std::shared_ptr<net::Acceptor> m_acceptor;
   std::shared_ptr<net::HttpServer> m_http;
   Metrics m_metrics;
--- a/src/programs/control/control_operators.cc
+++ b/src/programs/control/control_operators.cc
@@ -114,7 +114,7 @@
                                        ErrorCode::kRequestMalformed,
                                        "the body is not a JSON object");
     }
-    if (!LeadsReady()) {
+    if (!m_core.LeadsReady()) {
       co_return RefuseNotLeader();
     }
     co_return co_await (this->*route.m_handle)(body.as_object());
@@ -124,8 +124,9 @@
 }
 
 net::HttpResponse ControlNode::RefuseNotLeader() const {
-  const std::string leader =
-      m_replica.leader() ? m_replica.leader()->m_name : std::string();
+  const std::string leader = m_core.replica().leader()
+                                 ? m_core.replica().leader()->m_name
+                                 : std::string();
   return net::MakeErrorResponse(http::status::misdirected_request,
                                 leader.empty() || leader == m_settings.m_name
                                     ? ErrorCode::kUnavailable
@@ -138,16 +139,17 @@
   const auto result = std::make_shared<CallResult>();
   const auto waiter = std::make_shared<Waiter>(m_strand);
   waiter->m_timer.expires_after(kCallTimeout);
-  const bool proposed = Propose(
-      std::move(body), [result, waiter](const control::ApplyResult* applied) {
-        if (applied != nullptr) {
-          result->m_done = true;
-          result->m_result = *applied;
-        }
-        waiter->m_timer.cancel();
-      });
+  const bool proposed =
+      m_core.Propose(std::move(body), CurrentMoment(),
+                     [result, waiter](const control::ApplyResult* applied) {
+                       if (applied != nullptr) {
+                         result->m_done = true;
+                         result->m_result = *applied;
+                       }
+                       waiter->m_timer.cancel();
+                     });
   if (proposed) {
-    Drain();
+    Flush();
     if (!result->m_done) {
       boost::system::error_code ignored;
       co_await waiter->m_timer.async_wait(
@@ -162,12 +164,12 @@
   const auto done = std::make_shared<bool>(false);
   const auto waiter = std::make_shared<Waiter>(m_strand);
   waiter->m_timer.expires_after(kCallTimeout);
-  RequestProof([proven, done, waiter](bool ok) {
+  m_core.RequestProof(CurrentMoment(), [proven, done, waiter](bool ok) {
     *proven = ok;
     *done = true;
     waiter->m_timer.cancel();
   });
-  Drain();
+  Flush();
   if (!*done) {
     boost::system::error_code ignored;
     co_await waiter->m_timer.async_wait(
@@ -215,8 +217,8 @@
   const Instant limit = Now() + kAcceptWait;
   asio::steady_timer pause(m_strand);
   std::vector<std::string> waiting_for = {"leader"};
-  while (Now() < limit && LeadsReady()) {
-    waiting_for = m_keeper->NotInForce(version, Now());
+  while (Now() < limit && m_core.LeadsReady()) {
+    waiting_for = m_core.keeper()->NotInForce(version, Now());
     if (waiting_for.empty()) {
       break;
     }
@@ -313,7 +315,7 @@
 
 asio::awaitable<net::HttpResponse> ControlNode::HandleStatus() {
   const bool proven = co_await Prove();
-  if (!proven || !LeadsReady()) {
+  if (!proven || !m_core.LeadsReady()) {
     co_return RefuseNotLeader();
   }
   co_return Json(http::status::ok, StatusJson(Now()));
--- a/src/programs/control/control_status.cc
+++ b/src/programs/control/control_status.cc
@@ -116,19 +116,19 @@
 json::object ControlNode::StatusJson(Instant now) const {
   json::object status;
   status["leader"] = m_settings.m_name;
-  status["term"] = m_replica.term();
-  status["commit_index"] = m_replica.commit_index();
-  status["log_entries"] = m_replica.log_size();
-  status["config_version"] = m_state.config_version();
-  status["fleet_version"] = m_state.fleet().version();
-  status["ledger_keys"] = m_state.ledger_size();
-  status["time_ms"] = m_state.time_ms();
-  status["members"] = MembersJson(m_replica.membership());
-  status["entries"] = EntriesJson(*m_keeper, now);
-  status["instances"] = InstancesJson(m_state.fleet());
-  status["stops"] = StopsJson(m_state.fleet(), *m_keeper, now);
-  status["waves"] = WavesJson(m_state.fleet());
-  status["margins"] = MarginsJson(m_state.fleet());
+  status["term"] = m_core.replica().term();
+  status["commit_index"] = m_core.replica().commit_index();
+  status["log_entries"] = m_core.replica().log_size();
+  status["config_version"] = m_core.state().config_version();
+  status["fleet_version"] = m_core.state().fleet().version();
+  status["ledger_keys"] = m_core.state().ledger_size();
+  status["time_ms"] = m_core.state().time_ms();
+  status["members"] = MembersJson(m_core.replica().membership());
+  status["entries"] = EntriesJson(*m_core.keeper(), now);
+  status["instances"] = InstancesJson(m_core.state().fleet());
+  status["stops"] = StopsJson(m_core.state().fleet(), *m_core.keeper(), now);
+  status["waves"] = WavesJson(m_core.state().fleet());
+  status["margins"] = MarginsJson(m_core.state().fleet());
   return status;
 }
 
@@ -136,15 +136,16 @@
   const auto set = [this](const char* name, std::uint64_t value) {
     m_metrics.SetGauge(name, "", static_cast<double>(value));
   };
-  set("bronzebarrow_control_term", m_replica.term());
-  set("bronzebarrow_control_is_leader", LeadsReady() ? 1 : 0);
-  set("bronzebarrow_control_commit_index", m_replica.commit_index());
-  set("bronzebarrow_control_applied_index", m_applied_index);
-  set("bronzebarrow_control_log_entries", m_replica.log_size());
-  set("bronzebarrow_control_config_version", m_state.config_version());
-  set("bronzebarrow_control_fleet_version", m_state.fleet().version());
-  set("bronzebarrow_control_ledger_keys", m_state.ledger_size());
-  set("bronzebarrow_control_instances", m_state.fleet().instances().size());
+  set("bronzebarrow_control_term", m_core.replica().term());
+  set("bronzebarrow_control_is_leader", m_core.LeadsReady() ? 1 : 0);
+  set("bronzebarrow_control_commit_index", m_core.replica().commit_index());
+  set("bronzebarrow_control_applied_index", m_core.applied_index());
+  set("bronzebarrow_control_log_entries", m_core.replica().log_size());
+  set("bronzebarrow_control_config_version", m_core.state().config_version());
+  set("bronzebarrow_control_fleet_version", m_core.state().fleet().version());
+  set("bronzebarrow_control_ledger_keys", m_core.state().ledger_size());
+  set("bronzebarrow_control_instances",
+      m_core.state().fleet().instances().size());
   PublishProcessUsage(m_metrics);
   return m_metrics.Expose();
 }
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -65,14 +65,15 @@
          ErrorCode::kListValueInvalid, "plans list, line 2, plan \"huts\""},
         {"[huts]\nclass = urgent\npool = p\nquota = 0\n", uses,
          ErrorCode::kListValueInvalid, "line 4"},
-        {"[huts]\nclass = urgent\npool = p\n", uses,
-         ErrorCode::kListMissingKey, "\"quota\" is missing"},
+        {"[huts]\nclass = urgent\npool = p\n", uses, ErrorCode::kListMissingKey,
+         "\"quota\" is missing"},
         {"[huts]\nclass = urgent\npool = p\nquota = 1\nqouta = 2\n", uses,
          ErrorCode::kListUnknownKey, "line 5"},
         {"[huts]\nclass = urgent\nclass = normal\n", uses,
          ErrorCode::kListMalformed, "line 3"},
-        {plans, uses + "[ghost/p]\nzones = any\nracks = any\nfloor = 1\n"
-                       "survive = none\n",
+        {plans,
+         uses + "[ghost/p]\nzones = any\nracks = any\nfloor = 1\n"
+                "survive = none\n",
          ErrorCode::kListUnknownPlan, "ghost"},
         {plans + "[other]\nclass = normal\npool = q\nquota = 1\n", uses,
          ErrorCode::kListMissingKey, "[other/q]"},
@@ -157,7 +158,8 @@
       m_fleet.AdvanceTime(m_now);
     }
     CPPUNIT_ASSERT(m_fleet.waves().at("w").m_state == WaveState::kFinished);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, m_fleet.waves().at("w").m_done.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10},
+                         m_fleet.waves().at("w").m_done.size());
   }
 
   void WaveHaltsWhenAReturnedInstanceIsLost() {
@@ -205,9 +207,8 @@
         const int node = static_cast<int>(random() % 10);
         switch (random() % 5) {
           case 0:
-            CheckPlanned([&] {
-              return Stop("s" + std::to_string(step), node).ok();
-            });
+            CheckPlanned(
+                [&] { return Stop("s" + std::to_string(step), node).ok(); });
             break;
           case 1:
             m_fleet.Observe(
@@ -239,8 +240,7 @@
 
   static std::string Name(int node) { return "p-" + std::to_string(node); }
 
-  static wire::ObservationT MakeObservation(int node,
-                                            std::uint64_t incarnation,
+  static wire::ObservationT MakeObservation(int node, std::uint64_t incarnation,
                                             bool present) {
     wire::ObservationT observation;
     observation.instance = Name(node);
@@ -253,8 +253,9 @@
   }
 
   void Present(int node, std::uint64_t incarnation) {
-    AssertCode(ErrorCode::kOk,
-               m_fleet.Observe(MakeObservation(node, incarnation, true), m_now));
+    AssertCode(
+        ErrorCode::kOk,
+        m_fleet.Observe(MakeObservation(node, incarnation, true), m_now));
   }
 
   InstanceState StateOf(int node) {
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -80,10 +80,9 @@
   }
 
   void RefusesKeysThatCarryNoTime() {
-    for (const char* key :
-         {"", "x", "6ba7b810-9dad-11d1-80b4-00c04fd430c8",
-          "01a23f52-b98e-739e-92fb-7980c069580",
-          "01a23f52-b98e-739e-92fb-7980c069580z"}) {
+    for (const char* key : {"", "x", "6ba7b810-9dad-11d1-80b4-00c04fd430c8",
+                            "01a23f52-b98e-739e-92fb-7980c069580",
+                            "01a23f52-b98e-739e-92fb-7980c069580z"}) {
       m_key = key;
       AssertVerdict(LedgerVerdict::KeyInvalid, Send(LedgerOp::Grant, "a", 1));
     }
@@ -160,9 +159,9 @@
 
   static void AssertVerdict(LedgerVerdict expected,
                             const LedgerAnswer& answer) {
-    CPPUNIT_ASSERT_EQUAL(std::string(wire::EnumNameLedgerVerdict(expected)),
-                         std::string(wire::EnumNameLedgerVerdict(
-                             answer.m_verdict)));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(wire::EnumNameLedgerVerdict(expected)),
+        std::string(wire::EnumNameLedgerVerdict(answer.m_verdict)));
   }
 
   Ledger m_ledger;
