--- a/src/programs/control/control_status.cc
+++ b/src/programs/control/control_status.cc
@@ -138,6 +138,9 @@
   };
   set("bronzebarrow_control_term", m_core.replica().term());
   set("bronzebarrow_control_is_leader", m_core.LeadsReady() ? 1 : 0);
+  const consensus::Replica& replica = m_core.replica();
+  set("bronzebarrow_control_is_voter",
+      replica.membership().IsVoter(replica.id()) ? 1 : 0);
   set("bronzebarrow_control_commit_index", m_core.replica().commit_index());
   set("bronzebarrow_control_applied_index", m_core.applied_index());
   set("bronzebarrow_control_log_entries", m_core.replica().log_size());
--- a/tests/control_core_test.cc
+++ b/tests/control_core_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(EntryCutOffStopsServingWithinItsLease);
   CPPUNIT_TEST(AcceptWaitsForTheLeaseOfAnEntryCutOff);
   CPPUNIT_TEST(FrozenLeaderDoesNotKeepLeasesAlive);
+  CPPUNIT_TEST(LeaderCutFromItsPeersGrantsNoLease);
   CPPUNIT_TEST(HoldsUnderFaults);
   CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), control.broken());
   }
 
+  // The old leader still hears the entries while a new one is elected; an
+  // entry that it kept alive would serve on past the new leader's accept.
+  void LeaderCutFromItsPeersGrantsNoLease() {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      FakeControl control(kMembers, kEntries, seed);
+      Settle(control);
+      control.CutMemberFromPeers(control.Leader().value(), true);
+      control.Run(Millis(300 + seed % 120));
+      control.CutEntry(0, true);
+      for (int i = 0; i < 30; ++i) {
+        control.Run(Millis(50));
+        control.Change();
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                   std::string(), control.broken());
+    }
+  }
+
   void HoldsUnderFaults() {
     std::uint64_t accepted = 0;
     std::size_t released = 0;
--- a/tests/fake_control.cc
+++ b/tests/fake_control.cc
@@ -170,7 +170,9 @@
   Member& member = m_members[index];
   for (consensus::Outgoing& message : member.m_core->TakePeerMessages()) {
     for (std::size_t to = 0; to < m_members.size(); ++to) {
-      const bool lost = member.m_cut || m_members[to].m_cut || Chance(kLoss);
+      const bool cut = member.m_cut || m_members[to].m_cut ||
+                       member.m_peers_cut || m_members[to].m_peers_cut;
+      const bool lost = cut || Chance(kLoss);
       if (m_members[to].m_name == message.m_to.m_name && !lost) {
         m_to_members.emplace(
             m_now + RandomDuration(kMaxDelay),
@@ -452,7 +454,7 @@
 void FakeControl::InjectFault() {
   const std::size_t member = m_random() % m_members.size();
   FakeEntry& entry = m_entries[m_random() % m_entries.size()];
-  switch (m_random() % 12) {
+  switch (m_random() % 13) {
     case 0:
       Crash(member);
       break;
@@ -491,7 +493,8 @@
       break;
     }
     case 10:
-      m_entries[0].m_frozen = false;
+    case 11:
+      m_members[member].m_peers_cut = !m_members[member].m_peers_cut;
       break;
     default:
       if (!m_disk_lost) {
@@ -509,6 +512,7 @@
   for (Member& member : m_members) {
     member.m_frozen = false;
     member.m_cut = false;
+    member.m_peers_cut = false;
     if (!member.m_core) {
       Start(member);
     }
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -59,6 +59,9 @@
   bool AllServeNewest() const;
 
   void CutEntry(std::size_t entry, bool cut) { m_entries[entry].m_cut = cut; }
+  void CutMemberFromPeers(std::size_t member, bool cut) {
+    m_members[member].m_peers_cut = cut;
+  }
   void FreezeMember(std::size_t member, bool frozen) {
     m_members[member].m_frozen = frozen;
   }
@@ -75,7 +78,8 @@
     consensus::FakeDisk m_disk;
     std::optional<std::pair<Instant, consensus::DurableBatchOut>> m_sync;
     bool m_frozen = false;
-    bool m_cut = false;
+    bool m_cut = false;        // From the members and the entries.
+    bool m_peers_cut = false;  // From the members only.
     std::uint64_t m_life = 0;  // Counts starts.
   };
   struct ToMember {
