--- a/include/bronzebarrow/base/address.h
+++ b/include/bronzebarrow/base/address.h
@@ -14,6 +14,7 @@
   std::string m_host;
   std::uint16_t m_port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misread in a defaulted <=>.
   auto operator<=>(const Address&) const = default;
 
   /** @return "host:port". */
--- a/include/bronzebarrow/consensus/membership.h
+++ b/include/bronzebarrow/consensus/membership.h
@@ -16,6 +16,7 @@
   ReplicaId m_id;
   bool m_voter = false;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misread in a defaulted <=>.
   auto operator<=>(const Member&) const = default;
 };
 
--- a/include/bronzebarrow/consensus/replica_id.h
+++ b/include/bronzebarrow/consensus/replica_id.h
@@ -16,6 +16,7 @@
   std::string m_name;
   std::uint64_t m_generation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misread in a defaulted <=>.
   auto operator<=>(const ReplicaId&) const = default;
 };
 
--- a/include/bronzebarrow/routing/policy.h
+++ b/include/bronzebarrow/routing/policy.h
@@ -26,6 +26,7 @@
   Instant m_deadline;
   std::uint64_t m_request_id = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misread in a defaulted <=>.
   auto operator<=>(const QueueKey&) const = default;
 };
 
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,132 @@
+#!/usr/bin/env bash
+# Measures the slopes behind docs/CAPACITY.md and writes them as CSV.
+#   scripts/measure.sh [--seed N] [--out FILE] [--user oficina|union]
+# In-process slopes come from bronzebarrow-slopes; the cost of control on each
+# node is read from the processes' own metrics, idle and under changes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+SEED=1
+OUT=run/measure.csv
+EXAMPLE=oficina
+while [ "$#" -gt 0 ]; do
+  case "$1" in
+    --seed) SEED="$2"; shift 2 ;;
+    --out) OUT="$2"; shift 2 ;;
+    --user) EXAMPLE="$2"; shift 2 ;;
+    *) echo "usage: $0 [--seed N] [--out FILE] [--user NAME]" >&2; exit 2 ;;
+  esac
+done
+BUILD=build
+scripts/build.sh >/dev/null
+mkdir -p "$(dirname "$OUT")"
+. scripts/lib/group.sh
+trap stop_group EXIT
+
+IDLE_SECONDS=15
+BURST=100
+
+"$BUILD/bronzebarrow-slopes" --seed "$SEED" >"$OUT"
+row() { echo "$1,$2,$3,$4" >>"$OUT"; }
+
+gauge() {  # gauge NAME METRIC: of one process
+  curl -s -m 2 "http://$(setting "$1" http)/metrics" | sed -n "s/^$2 //p"
+}
+calc() { awk "BEGIN { printf \"%.6g\", $1 }"; }
+
+declare -A cpu sent received
+snapshot() {
+  local name
+  for name in $CONTROLS $ENTRIES; do
+    cpu[$name]="$(gauge "$name" process_cpu_seconds_total)"
+    sent[$name]="$(gauge "$name" bronzebarrow_frame_bytes_sent_total)"
+    received[$name]="$(gauge "$name" bronzebarrow_frame_bytes_received_total)"
+  done
+}
+report() {  # report LABEL DIVISOR UNIT: use of each node since the snapshot
+  local name now_cpu now_bytes
+  for name in $CONTROLS $ENTRIES; do
+    now_cpu="$(gauge "$name" process_cpu_seconds_total)"
+    now_bytes="$(gauge "$name" bronzebarrow_frame_bytes_sent_total) + \
+      $(gauge "$name" bronzebarrow_frame_bytes_received_total)"
+    row "$1_cpu_$name" "$2" "$(calc "1e3 * ($now_cpu - ${cpu[$name]}) / $2")" \
+      "ms/$3"
+    row "$1_bytes_$name" "$2" \
+      "$(calc "($now_bytes - ${sent[$name]} - ${received[$name]}) / $2")" \
+      "bytes/$3"
+  done
+}
+changes() {  # changes COUNT USES_FILE: one after another, by one operator
+  local i version
+  version="$(status_number config_version)"
+  for i in $(seq 1 "$1"); do
+    sed "s/^quota = .*/quota = $((80 + i % 20))/" "$2/plans.ini" \
+      >"$RUN/plans.ini"
+    local begun ended
+    begun="$(date +%s%N)"
+    operate --expect "$version" apply "$RUN/plans.ini" "$2/uses.ini" >/dev/null
+    ended="$(date +%s%N)"
+    echo "$(((ended - begun) / 1000))" >>"$RUN/accept_us.txt"
+    version=$((version + 1))
+  done
+}
+percentile() { sort -n "$1" | awk -v p="$2" '{ v[NR] = $1 }
+  END { i = int(p * (NR - 1)) + 1; print v[i] }'; }
+
+start_group
+apply_lists >/dev/null
+wait_for_instances 50
+sleep 5
+
+echo "idle for $IDLE_SECONDS s" >&2
+snapshot
+sleep "$IDLE_SECONDS"
+report idle "$IDLE_SECONDS" s
+for name in $CONTROLS $ENTRIES; do
+  row "idle_memory_$name" 50 "$(gauge "$name" process_resident_memory_bytes)" \
+    bytes
+done
+
+echo "a burst of $BURST changes of 5 plans" >&2
+snapshot
+changes "$BURST" "examples/$EXAMPLE"
+report change_of_5_plans "$BURST" change
+row accept_p50 "$BURST" "$(percentile "$RUN/accept_us.txt" 0.5)" us
+row accept_p99 "$BURST" "$(percentile "$RUN/accept_us.txt" 0.99)" us
+rm "$RUN/accept_us.txt"
+
+echo "a burst of $BURST changes of 430 plans" >&2
+mkdir -p "$RUN/large"
+for i in $(seq 1 425); do
+  pool="$(setting load pools | cut -d, -f$((i % 5 + 1)) | tr -d ' ')"
+  printf '[team-%s]\nclass = normal\npool = %s\nquota = 80\n\n' "$i" "$pool" \
+    >>"$RUN/large/plans.ini"
+  printf '[team-%s/%s]\nzones = any\nracks = any\nfloor = 1\nsurvive = none\n\n' \
+    "$i" "$pool" >>"$RUN/large/uses.ini"
+done
+cat "examples/$EXAMPLE/plans.ini" >>"$RUN/large/plans.ini"
+cat "examples/$EXAMPLE/uses.ini" >>"$RUN/large/uses.ini"
+snapshot
+changes "$BURST" "$RUN/large"
+report change_of_430_plans "$BURST" change
+row accept_430_p50 "$BURST" "$(percentile "$RUN/accept_us.txt" 0.5)" us
+row accept_430_p99 "$BURST" "$(percentile "$RUN/accept_us.txt" 0.99)" us
+for name in $CONTROLS $ENTRIES; do
+  row "memory_430_plans_$name" 430 \
+    "$(gauge "$name" process_resident_memory_bytes)" bytes
+done
+
+echo "time without an accept after kill -9 of the leader, 5 times" >&2
+for i in 1 2 3 4 5; do
+  victim="$(leader)"
+  version="$(status_number config_version)"
+  kill_process "$victim"
+  begun="$(date +%s%N)"
+  operate --expect "$version" apply "examples/$EXAMPLE/plans.ini" \
+    "examples/$EXAMPLE/uses.ini" >/dev/null
+  row leader_kill_to_accept "$i" \
+    "$((($(date +%s%N) - begun) / 1000000))" ms
+  start_control "$victim"
+  sleep 4
+done
+
+echo "written: $OUT" >&2
--- a/src/control/control_core_entries.cc
+++ b/src/control/control_core_entries.cc
@@ -53,7 +53,7 @@
       grant.duration_ms = static_cast<std::uint32_t>(
           std::chrono::duration_cast<Millis>(m_keeper->lease()).count());
     }
-    Send(id, std::move(grant));
+    Send(id, grant);
   });
 }
 
--- a/tests/fake_control.cc
+++ b/tests/fake_control.cc
@@ -2,6 +2,7 @@
 #include "fake_control.h"
 
 #include <algorithm>
+#include <array>
 
 namespace bronzebarrow::control {
 namespace {
@@ -17,7 +18,7 @@
 constexpr Duration kSwitchPause = Millis(50);
 constexpr double kLoss = 0.03;
 constexpr std::uint64_t kWallStartMs = 1'800'000'000'000;
-const std::vector<std::string> kInstances = {"t0", "t1", "t2", "t3"};
+constexpr std::array<const char*, 4> kInstances = {"t0", "t1", "t2", "t3"};
 
 std::uint64_t MillisOf(Instant moment) {
   return static_cast<std::uint64_t>(
@@ -232,7 +233,7 @@
 }
 
 void FakeControl::StartWork(FakeEntry& entry) {
-  const std::string& instance = kInstances[m_random() % kInstances.size()];
+  const std::string instance = kInstances[m_random() % kInstances.size()];
   if (!entry.m_stop_of.contains(instance)) {
     const Instant end = m_now + RandomDuration(kMaxRequest);
     entry.m_busy_until[instance] = std::max(entry.m_busy_until[instance], end);
@@ -253,7 +254,7 @@
     }
   }
   if (entry.m_full_view) {
-    for (const std::string& instance : kInstances) {
+    for (const char* instance : kInstances) {
       auto observation = std::make_unique<wire::ObservationT>();
       observation->instance = instance;
       observation->pool = "p";
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -119,6 +119,7 @@
       setUp();
       std::mt19937_64 random(seed);
       std::vector<std::string> keys;
+      keys.reserve(4);
       for (int i = 0; i < 4; ++i) {
         keys.push_back(MakeKey(kStartMs, random));
       }
