--- a/include/bronzebarrow/base/settings.h
+++ b/include/bronzebarrow/base/settings.h
@@ -52,7 +52,15 @@
   /** @return the keys and values of a section, in key order. */
   std::map<std::string, std::string> Section(std::string_view section) const;
 
+  /**
+   * Checks that section `list` has as many keys as [section] `list` says.
+   * @return a failure if it has not: the file was cut short
+   */
+  Result<void> CheckCount(std::string_view section,
+                          std::string_view list) const;
+
  private:
+  std::string m_path;
   std::map<std::string, std::map<std::string, std::string>> m_values;
 };
 
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -23,6 +23,8 @@
 trap stop_group EXIT
 
 IDLE_SECONDS=15
+LOAD_SECONDS=15
+LARGE_FLEET=34  # targets in each of the five pools
 BURST=100
 
 "$BUILD/bronzebarrow-slopes" --seed "$SEED" >"$OUT"
@@ -86,6 +88,13 @@
     bytes
 done
 
+echo "calls for $LOAD_SECONDS s" >&2
+keys_before="$(status_number ledger_keys)"
+snapshot
+load "$LOAD_SECONDS" "$SEED" >"$RUN/load.txt"
+keys=$(($(status_number ledger_keys) - keys_before))
+report keyed_request "$keys" request
+
 echo "a burst of $BURST changes of 5 plans" >&2
 snapshot
 changes "$BURST" "examples/$EXAMPLE"
@@ -129,4 +138,17 @@
   sleep 4
 done
 
+echo "idle for $IDLE_SECONDS s with a larger fleet" >&2
+signal_process targets TERM
+sleep 2
+sed "s/^targets_per_pool = .*/targets_per_pool = $LARGE_FLEET/" \
+  "examples/$EXAMPLE/load.ini" >"$RUN/large-fleet.ini"
+start_process targets "$BUILD/bronzebarrow-load" \
+  --settings "$RUN/large-fleet.ini" targets
+wait_for_instances $((5 * LARGE_FLEET))
+sleep 5
+snapshot
+sleep "$IDLE_SECONDS"
+report "idle_$((5 * LARGE_FLEET))_targets" "$IDLE_SECONDS" s
+
 echo "written: $OUT" >&2
--- a/src/base/error_code.cc
+++ b/src/base/error_code.cc
@@ -9,7 +9,7 @@
         "success",
         "the settings file cannot be read",
         "the settings file is not well-formed INI",
-        "the settings file does not end with a newline and may be cut short",
+        "the settings file is cut short",
         "the key is not known here",
         "a required key is missing",
         "the value is outside its range or of the wrong type",
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -144,6 +144,7 @@
     section[std::string(spec.m_key)] = spec.m_default;
   }
   Settings settings;
+  settings.m_path = path;
   settings.m_values = std::move(values);
   return settings;
 }
@@ -169,6 +170,19 @@
                                 : keys->second;
 }
 
+Result<void> Settings::CheckCount(std::string_view section,
+                                  std::string_view list) const {
+  const auto expected = static_cast<std::size_t>(Integer(section, list));
+  const std::size_t found = Section(list).size();
+  if (found != expected) {
+    return Fail(ErrorCode::kSettingsTruncated,
+                m_path + " [" + std::string(list) +
+                    "]: " + std::to_string(found) + " of " +
+                    std::to_string(expected) + " lines");
+  }
+  return {};
+}
+
 std::string DescribeSettings(std::span<const SettingSpec> specs) {
   std::ostringstream page;
   for (const SettingSpec& spec : specs) {
--- a/src/programs/control/control_settings.cc
+++ b/src/programs/control/control_settings.cc
@@ -24,6 +24,10 @@
      "log entries after which a snapshot replaces them"},
     {"control", "workers", SettingType::kInteger, "2", 1, 64,
      "threads that serve connections"},
+    {"control", "members", SettingType::kInteger, "", 1, 9,
+     "how many lines [members] has, so that a file cut short is noticed"},
+    {"control", "entries", SettingType::kInteger, "", 1, 1000,
+     "how many lines [entries] has"},
     {"members", "*", SettingType::kAddress, "", 0, 0,
      "every member of the control group, itself included: name = address"},
     {"entries", "*", SettingType::kAddress, "", 0, 0,
@@ -39,6 +43,8 @@
   const auto millis = [&file](const char* key) {
     return Millis(file.Integer("control", key));
   };
+  BOOST_LEAF_CHECK(file.CheckCount("control", "members"));
+  BOOST_LEAF_CHECK(file.CheckCount("control", "entries"));
   ControlSettings settings;
   settings.m_name = file.Text("control", "name");
   settings.m_zone = file.Text("control", "zone");
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -1,22 +1,19 @@
 // bronzebarrow-control: a member of the control group.
 #include <gflags/gflags.h>
 
-#include <iostream>
 #include <memory>
 
 #include "bronzebarrow/base.h"
 #include "programs/control/control_node.h"
-#include "programs/program.h"
+#include "programs/daemon.h"
 
-DEFINE_string(settings, "", "path of the INI settings file");
-DEFINE_bool(check, false, "check the settings and exit");
 DEFINE_bool(initialize, false,
             "prepare the empty data folder of a founding member and exit");
 
 namespace bronzebarrow::programs {
 namespace {
 
-Result<bool> InitializeFolder(const ControlSettings& settings) {
+Result<ExitCode> InitializeFolder(const ControlSettings& settings) {
   std::vector<consensus::Member> founders;
   for (const auto& [name, address] : settings.m_members) {
     founders.push_back({{name, 1}, true});
@@ -24,10 +21,10 @@
   BOOST_LEAF_CHECK(consensus::LogStore::Initialize(
       settings.m_data, settings.m_name,
       consensus::Membership(std::move(founders))));
-  return true;
+  return ExitCode::kOk;
 }
 
-Result<bool> Serve(const ControlSettings& settings) {
+Result<ExitCode> Serve(const ControlSettings& settings) {
   BOOST_LEAF_AUTO(store,
                   consensus::LogStore::Open(settings.m_data, settings.m_name));
   const auto& recovered = store->recovered();
@@ -56,26 +53,15 @@
     io.stop();
   });
   EventLine(Event::kProcessStopped).Field("member", settings.m_name);
-  return true;
+  return ExitCode::kOk;
 }
 
-int Main() {
-  const auto outcome = Capture<bool>([]() -> Result<bool> {
-    BOOST_LEAF_AUTO(settings, ControlSettings::Load(FLAGS_settings));
-    if (FLAGS_check) {
-      std::cout << "settings are valid\n";
-      return true;
-    }
-    return FLAGS_initialize ? InitializeFolder(settings) : Serve(settings);
-  });
-  if (const auto* failure = std::get_if<Failure>(&outcome)) {
-    EventLine(Event::kSettingsRefused, Severity::kError)
-        .Field("code", failure->m_code)
-        .Field("context", failure->m_context);
-    std::cerr << "bronzebarrow-control: " << Describe(*failure) << "\n";
-    return ToInt(ExitCodeOf(*failure));
+Result<ExitCode> Run(const std::vector<std::string>&) {
+  BOOST_LEAF_AUTO(settings, ControlSettings::Load(FLAGS_settings));
+  if (FLAGS_check) {
+    return ReportValidSettings();
   }
-  return ToInt(ExitCode::kOk);
+  return FLAGS_initialize ? InitializeFolder(settings) : Serve(settings);
 }
 
 }  // namespace
@@ -83,17 +69,10 @@
 
 int main(int argc, char** argv) {
   namespace programs = bronzebarrow::programs;
-  gflags::SetUsageMessage(
-      "a member of the control group\n"
-      "  bronzebarrow-control --settings FILE [--check | --initialize]\n"
-      "Settings:\n" +
-      bronzebarrow::DescribeSettings(programs::ControlSettings::Specs()));
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  bronzebarrow::StartLog(argv[0]);
-  if (FLAGS_settings.empty() || argc > 1) {
-    std::cerr << "bronzebarrow-control: --settings FILE is required, and no "
-                 "other argument\n";
-    return programs::ToInt(programs::ExitCode::kUsage);
-  }
-  return programs::Main();
+  return programs::DaemonMain(
+      argc, argv,
+      {"bronzebarrow-control", "a member of the control group",
+       "  bronzebarrow-control --settings FILE [--check | --initialize]\n", 0,
+       programs::ControlSettings::Specs()},
+      programs::Run);
 }
--- a/src/programs/entry/entry_settings.cc
+++ b/src/programs/entry/entry_settings.cc
@@ -27,6 +27,10 @@
      "class-deadline or arrival"},
     {"entry", "balance_policy", SettingType::kName, "least-loaded", 0, 0,
      "least-loaded or round-robin"},
+    {"entry", "members", SettingType::kInteger, "", 1, 9,
+     "how many lines [members] has, so that a file cut short is noticed"},
+    {"entry", "entries", SettingType::kInteger, "", 1, 1000,
+     "how many lines [entries] has"},
     {"members", "*", SettingType::kAddress, "", 0, 0,
      "every member of the control group: name = address for frames"},
     {"entries", "*", SettingType::kAddress, "", 0, 0,
@@ -51,6 +55,8 @@
 
 Result<EntrySettings> EntrySettings::Load(const std::string& path) {
   BOOST_LEAF_AUTO(file, Settings::Load(path, kSpecs));
+  BOOST_LEAF_CHECK(file.CheckCount("entry", "members"));
+  BOOST_LEAF_CHECK(file.CheckCount("entry", "entries"));
   EntrySettings settings;
   settings.m_name = file.Text("entry", "name");
   settings.m_zone = file.Text("entry", "zone");
--- a/src/programs/load/main.cc
+++ b/src/programs/load/main.cc
@@ -10,12 +10,10 @@
 #include <fstream>
 #include <iostream>
 
+#include "programs/daemon.h"
 #include "programs/load/caller.h"
 #include "programs/load/fake_target.h"
-#include "programs/program.h"
 
-DEFINE_string(settings, "", "path of the INI settings file");
-DEFINE_bool(check, false, "check the settings and exit");
 DEFINE_int64(seconds, 10, "how long to call");
 DEFINE_uint64(seed, 1, "seed of arrivals and keys");
 DEFINE_string(csv, "", "file to write one line a request to");
@@ -126,28 +124,18 @@
   return verdicts.AllHold() ? ExitCode::kOk : ExitCode::kBroken;
 }
 
-int Main(const std::string& command) {
-  const auto outcome = Capture<ExitCode>([&]() -> Result<ExitCode> {
-    BOOST_LEAF_AUTO(settings, LoadSettings::Load(FLAGS_settings));
-    if (FLAGS_check) {
-      std::cout << "settings are valid\n";
-      return ExitCode::kOk;
-    }
-    if (command == "targets") {
-      return RunTargets(settings);
-    }
-    if (command == "run") {
-      return RunCallers(settings);
-    }
-    return Fail(ErrorCode::kUsage, "the command is targets or run");
-  });
-  if (const auto* failure = std::get_if<Failure>(&outcome)) {
-    std::cerr << "bronzebarrow-load: " << Describe(*failure) << "\n";
-    return ToInt(failure->m_code == ErrorCode::kUnavailable
-                     ? ExitCode::kUnavailable
-                     : ExitCodeOf(*failure));
+Result<ExitCode> Run(const std::vector<std::string>& arguments) {
+  BOOST_LEAF_AUTO(settings, LoadSettings::Load(FLAGS_settings));
+  if (FLAGS_check) {
+    return ReportValidSettings();
   }
-  return ToInt(std::get<ExitCode>(outcome));
+  if (arguments[0] == "targets") {
+    return RunTargets(settings);
+  }
+  if (arguments[0] == "run") {
+    return RunCallers(settings);
+  }
+  return Fail(ErrorCode::kUsage, "the command is targets or run");
 }
 
 }  // namespace
@@ -155,19 +143,13 @@
 
 int main(int argc, char** argv) {
   namespace programs = bronzebarrow::programs;
-  gflags::SetUsageMessage(
-      "fake targets, and callers that hold the system to its promises\n"
-      "  bronzebarrow-load --settings FILE targets\n"
-      "  bronzebarrow-load --settings FILE [--seconds N] [--seed N] "
-      "[--csv FILE] run\n"
-      "Settings:\n" +
-      bronzebarrow::DescribeSettings(programs::LoadSettings::Specs()));
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  bronzebarrow::StartLog(argv[0]);
-  if (FLAGS_settings.empty() || argc != 2) {
-    std::cerr << "bronzebarrow-load: --settings FILE and one command are "
-                 "required\n";
-    return programs::ToInt(programs::ExitCode::kUsage);
-  }
-  return programs::Main(argv[1]);
+  return programs::DaemonMain(
+      argc, argv,
+      {"bronzebarrow-load",
+       "fake targets, and callers that hold the system to its promises",
+       "  bronzebarrow-load --settings FILE [--seed N] targets\n"
+       "  bronzebarrow-load --settings FILE [--seconds N] [--seed N] "
+       "[--csv FILE] run\n",
+       1, programs::LoadSettings::Specs()},
+      programs::Run);
 }
--- a/src/programs/operator/main.cc
+++ b/src/programs/operator/main.cc
@@ -80,12 +80,7 @@
   const auto outcome = Capture<ExitCode>([&] { return Run(arguments); });
   if (const auto* failure = std::get_if<Failure>(&outcome)) {
     std::cerr << "bronzebarrow: " << Describe(*failure) << "\n";
-    const bool no_leader = failure->m_code == ErrorCode::kUnavailable ||
-                           failure->m_code == ErrorCode::kConnectionFailed;
-    if (failure->m_code == ErrorCode::kInstanceUnavailable) {
-      return ToInt(ExitCode::kRefused);
-    }
-    return ToInt(no_leader ? ExitCode::kUnavailable : ExitCodeOf(*failure));
+    return ToInt(ExitCodeOf(*failure));
   }
   return ToInt(std::get<ExitCode>(outcome));
 }
--- a/src/programs/program.cc
+++ b/src/programs/program.cc
@@ -18,6 +18,11 @@
     case ErrorCode::kLogDamaged:
     case ErrorCode::kDiskWriteFailed:
       return ExitCode::kData;
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kConnectionFailed:
+      return ExitCode::kUnavailable;
+    case ErrorCode::kInstanceUnavailable:
+      return ExitCode::kRefused;
     case ErrorCode::kUsage:
       return ExitCode::kUsage;
     default:
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -22,7 +22,7 @@
 
 constexpr int ToInt(ExitCode code) { return static_cast<int>(code); }
 
-/** @return the exit code for a daemon that could not start. */
+/** @return the exit code that goes with a failure. */
 ExitCode ExitCodeOf(const Failure& failure);
 
 /**
