Find the leader by a short probe, so a frozen member holds no operator up

Change: a probe of /v1/leader with 500 ms goes before the call; 20 s to find a leader. Conclusion: the search no longer depends on the order of members.

--- a/src/programs/control/control_operators.cc
+++ b/src/programs/control/control_operators.cc
@@ -94,6 +94,10 @@
       co_return net::MakeResponse(http::status::ok, "text/plain; version=0.0.4",
                                   MetricsText());
     }
+    if (path == "/v1/leader") {
+      co_return m_core.LeadsReady() ? Json(http::status::ok, json::object())
+                                    : RefuseNotLeader();
+    }
     if (path == "/v1/status") {
       co_return co_await HandleStatus();
     }
--- a/src/programs/operator/control_client.cc
+++ b/src/programs/operator/control_client.cc
@@ -19,8 +19,11 @@
 namespace json = boost::json;
 
 constexpr Duration kCallTimeout = Millis(15'000);
-constexpr Duration kConnectTimeout = Millis(1'000);
-constexpr Duration kFindLeaderTimeout = Millis(10'000);
+constexpr Duration kConnectTimeout = Millis(500);
+// A frozen member still accepts connections; it must not hold up the search.
+constexpr Duration kProbeTimeout = Millis(500);
+constexpr Duration kFindLeaderTimeout = Millis(20'000);
+constexpr const char* kProbePath = "/v1/leader";
 constexpr Duration kRetryPause = Millis(100);
 constexpr std::size_t kMaxAnswerBytes = 64 << 20;
 
@@ -47,8 +50,15 @@
   while (Now() < limit) {
     for (std::size_t i = 0; i < m_members.size(); ++i) {
       const std::size_t at = (m_next + i) % m_members.size();
-      auto called = Capture<ControlAnswer>(
-          [&] { return CallMember(m_members[at], path, body); });
+      const Address& member = m_members[at];
+      auto called = Capture<ControlAnswer>([&]() -> Result<ControlAnswer> {
+        BOOST_LEAF_AUTO(probe,
+                        CallMember(member, kProbePath, nullptr, kProbeTimeout));
+        if (ShouldTryAgain(probe)) {
+          return probe;
+        }
+        return CallMember(member, path, body, kCallTimeout);
+      });
       if (const auto* failure = std::get_if<Failure>(&called)) {
         last = *failure;
         continue;
@@ -58,8 +68,7 @@
         m_next = at;
         return std::move(answer);
       }
-      last = {ErrorCode::kUnavailable,
-              m_members[at].Text() + " is not leading"};
+      last = {ErrorCode::kUnavailable, member.Text() + " is not leading"};
     }
     std::this_thread::sleep_for(kRetryPause);
   }
@@ -68,7 +77,8 @@
 
 Result<ControlAnswer> ControlClient::CallMember(const Address& member,
                                                 const std::string& path,
-                                                const json::object* body) {
+                                                const json::object* body,
+                                                Duration timeout) {
   asio::io_context io;
   beast::tcp_stream stream(io);
   beast::error_code error;
@@ -92,7 +102,7 @@
   }
   request.keep_alive(false);
   request.prepare_payload();
-  stream.expires_after(kCallTimeout);
+  stream.expires_after(timeout);
   http::async_write(stream, request, note);
   RunStarted(io);
   beast::flat_buffer buffer;
--- a/src/programs/operator/control_client.h
+++ b/src/programs/operator/control_client.h
@@ -35,7 +35,8 @@
  private:
   Result<ControlAnswer> CallMember(const Address& member,
                                    const std::string& path,
-                                   const boost::json::object* body);
+                                   const boost::json::object* body,
+                                   Duration timeout);
 
   std::vector<Address> m_members;
   std::size_t m_next = 0;  // The member that answered last.
