--- a/include/bronzebarrow/control/control_state.h
+++ b/include/bronzebarrow/control/control_state.h
@@ -36,9 +36,6 @@
 
   ApplyResult Apply(const wire::CommandT& command);
 
-  /** @return what Apply would refuse a list change with, without applying. */
-  fleet::Outcome Check(const wire::ApplyListsT& change) const;
-
   std::vector<std::uint8_t> Image() const;
   /** @return whether the image was valid and is loaded. */
   bool Load(std::span<const std::uint8_t> image);
@@ -59,6 +56,9 @@
     std::string m_operator;
   };
 
+  /** Sets `lists` when the change is new and valid. */
+  fleet::Outcome Check(const wire::ApplyListsT& change, const Change* known,
+                       fleet::Lists& lists) const;
   fleet::Outcome ApplyChange(const wire::ApplyListsT& change,
                              std::uint64_t& version);
   fleet::Outcome ApplyObservations(const wire::ObserveInstancesT& command);
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -67,11 +67,13 @@
   return it == m_changes.end() ? nullptr : &*it;
 }
 
-fleet::Outcome ControlState::Check(const wire::ApplyListsT& change) const {
+fleet::Outcome ControlState::Check(const wire::ApplyListsT& change,
+                                   const Change* known,
+                                   fleet::Lists& lists) const {
   if (!IsName(change.change_id)) {
     return {ErrorCode::kUsage, "the change id is not a name"};
   }
-  if (const Change* known = FindChange(change.change_id)) {
+  if (known != nullptr) {
     return known->m_digest == DigestOf(change)
                ? fleet::Outcome{}
                : fleet::Outcome{ErrorCode::kChangeIdReused, change.change_id};
@@ -84,27 +86,28 @@
     }
     return {ErrorCode::kVersionConflict, winner};
   }
-  const auto parsed = Capture<fleet::Lists>(
+  auto parsed = Capture<fleet::Lists>(
       [&] { return fleet::Lists::Parse(change.plans, change.uses); });
   if (const auto* failure = std::get_if<Failure>(&parsed)) {
     return {failure->m_code, failure->m_context};
   }
+  lists = std::move(std::get<fleet::Lists>(parsed));
   return {};
 }
 
 fleet::Outcome ControlState::ApplyChange(const wire::ApplyListsT& change,
                                          std::uint64_t& version) {
-  fleet::Outcome outcome = Check(change);
+  const Change* known = FindChange(change.change_id);
+  fleet::Lists lists;
+  fleet::Outcome outcome = Check(change, known, lists);
   if (!outcome.ok()) {
     return outcome;
   }
-  if (const Change* known = FindChange(change.change_id)) {
+  if (known != nullptr) {
     version = known->m_version;
     return {};
   }
-  auto parsed = Capture<fleet::Lists>(
-      [&] { return fleet::Lists::Parse(change.plans, change.uses); });
-  m_lists = std::move(std::get<fleet::Lists>(parsed));
+  m_lists = std::move(lists);
   m_plans_text = change.plans;
   m_uses_text = change.uses;
   version = ++m_config_version;
