Build an entry's view for a report only when a report is due

Cause: every 20 ms the link to control copied all targets, to see whether something urgent had changed; the copy was the largest part of an entry's processor time per target. Change: the check reads versions and drained stops only.

--- a/src/programs/entry/control_link.cc
+++ b/src/programs/entry/control_link.cc
@@ -129,13 +129,13 @@
     m_members[m_leader]->Reset();
     SwitchLeader(NextMember());
   }
-  const EntryReport report = m_make_report();
   const bool due = now >= m_last_report + m_renewal;
-  if (due || m_need_full_view || IsUrgent(m_reported, report)) {
-    if (m_need_full_view && !due && now < m_last_switch + kSwitchPause) {
-      return;
-    }
-    SendReport(report, now);
+  if (m_need_full_view && !due && now < m_last_switch + kSwitchPause) {
+    return;
+  }
+  if (due || m_need_full_view ||
+      IsUrgent(m_reported, m_make_report(ReportScope::kWithoutView))) {
+    SendReport(m_make_report(ReportScope::kWhole), now);
   }
 }
 
--- a/src/programs/entry/control_link.h
+++ b/src/programs/entry/control_link.h
@@ -21,7 +21,10 @@
 
 namespace bronzebarrow::programs {
 
-/** What the entry reports besides its versions. */
+/** How much of a report is made; the view of the targets is costly. */
+enum class ReportScope { kWithoutView, kWhole };
+
+/** What the entry reports to the control group. */
 struct EntryReport {
   std::uint64_t m_config_version = 0;
   std::uint64_t m_fleet_version = 0;
@@ -32,7 +35,7 @@
 /** Runs on m_strand; the lease may be asked from any thread. */
 class ControlLink : public std::enable_shared_from_this<ControlLink> {
  public:
-  using MakeReport = std::function<EntryReport()>;
+  using MakeReport = std::function<EntryReport(ReportScope)>;
   using OnUpdate = std::function<void(const wire::StateUpdateT&)>;
 
   ControlLink(boost::asio::any_io_executor executor,
--- a/src/programs/entry/entry_node.cc
+++ b/src/programs/entry/entry_node.cc
@@ -64,7 +64,7 @@
                                         return self->Handle(request);
                                       }));
   m_control->Start(
-      [self] { return self->MakeReport(); },
+      [self](ReportScope scope) { return self->MakeReport(scope); },
       [self](const wire::StateUpdateT& update) { self->OnUpdate(update); });
   ScheduleTick();
   return {};
@@ -126,13 +126,15 @@
   return config > 0 && m_control->HoldsLease(config, fleet);
 }
 
-EntryReport EntryNode::MakeReport() const {
+EntryReport EntryNode::MakeReport(ReportScope scope) const {
   const std::lock_guard lock(m_routing_mutex);
   EntryReport report;
   report.m_config_version = m_config_version;
   report.m_fleet_version = m_fleet_version;
   report.m_drained = m_router.DrainedStops();
-  report.m_present = m_router.Observations();
+  if (scope == ReportScope::kWhole) {
+    report.m_present = m_router.Observations();
+  }
   return report;
 }
 
--- a/src/programs/entry/entry_node.h
+++ b/src/programs/entry/entry_node.h
@@ -102,7 +102,7 @@
   bool HoldsLease() const;
 
   // State from the control group and from targets.
-  EntryReport MakeReport() const;
+  EntryReport MakeReport(ReportScope scope) const;
   void OnUpdate(const wire::StateUpdateT& update);
   void TakeAnnouncement(const wire::AnnouncementT& announcement,
                         bool from_target);
