--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -87,6 +87,28 @@
 
 using Values = std::map<std::string, std::map<std::string, std::string>>;
 
+// The text of a 1-based line, trimmed.
+std::string LineAt(const std::string& text, unsigned long number) {
+  std::istringstream stream(text);
+  std::string line;
+  for (unsigned long i = 0; i < number; ++i) {
+    std::getline(stream, line);
+  }
+  boost::algorithm::trim(line);
+  return line;
+}
+
+// The header of the section that a 1-based line stands in.
+std::string SectionAt(const std::string& text, unsigned long number) {
+  for (unsigned long i = number; i > 0; --i) {
+    const std::string line = LineAt(text, i);
+    if (line.starts_with('[')) {
+      return line;
+    }
+  }
+  return "";
+}
+
 Result<Values> ParseIni(const std::string& path, const std::string& text) {
   namespace pt = boost::property_tree;
   pt::ptree tree;
@@ -94,9 +116,10 @@
     std::istringstream stream(text);
     pt::read_ini(stream, tree);
   } catch (const pt::ini_parser_error& error) {
-    return Fail(
-        ErrorCode::kSettingsMalformed,
-        path + ":" + std::to_string(error.line()) + " " + error.message());
+    return Fail(ErrorCode::kSettingsMalformed,
+                path + ":" + std::to_string(error.line()) + " " +
+                    SectionAt(text, error.line()) + " \"" +
+                    LineAt(text, error.line()) + "\": " + error.message());
   }
   Values values;
   for (const auto& [section, keys] : tree) {
--- a/src/programs/entry/entry_callers.cc
+++ b/src/programs/entry/entry_callers.cc
@@ -187,7 +187,9 @@
          decision.m_displaced->m_code);
   }
   RouteResult result;
+  const Instant queued = Now();
   if (decision.m_verdict == routing::RouteVerdict::kDispatched) {
+    ObserveQueueing(call, queued);
     result.m_dispatch = decision.m_dispatch;
     co_return result;
   }
@@ -200,6 +202,7 @@
     co_await waiting->m_wake.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
   }
+  ObserveQueueing(call, queued);
   result.m_dispatch = waiting->m_dispatch;
   result.m_code = waiting->m_refusal.value_or(ErrorCode::kOk);
   co_return result;
@@ -292,6 +295,10 @@
 // that no other attempt with the key can run it any more.
 asio::awaitable<net::HttpResponse> EntryNode::Refuse(const Serving& serving,
                                                      ErrorCode code) {
+  EventLine(Event::kRequestRefused)
+      .Field("request", serving.m_request_id)
+      .Field("plan", serving.m_call.m_plan)
+      .Field("code", code);
   if (!serving.m_call.HasKey()) {
     co_return MakeRefusal(code, CallOutcome::kNotRun, "");
   }
@@ -327,24 +334,33 @@
   asio::co_spawn(m_executor, record, asio::detached);
 }
 
+std::string EntryNode::LabelsOf(const std::string& plan) const {
+  const std::lock_guard lock(m_routing_mutex);
+  const auto found = m_class_of_plan.find(plan);
+  return found == m_class_of_plan.end()
+             ? std::string()
+             : "plan=\"" + plan + "\",class=\"" + found->second + "\"";
+}
+
+void EntryNode::ObserveQueueing(const CallerRequest& call, Instant queued) {
+  const std::string labels = LabelsOf(call.m_plan);
+  if (!labels.empty()) {
+    m_metrics.Observe("bronzebarrow_queue_seconds", labels,
+                      std::chrono::duration<double>(Now() - queued).count());
+  }
+}
+
 void EntryNode::CountCall(const CallerRequest& call,
                           const net::HttpResponse& answer) {
-  std::string request_class = "none";
-  {
-    const std::lock_guard lock(m_routing_mutex);
-    const auto found = m_class_of_plan.find(call.m_plan);
-    if (found == m_class_of_plan.end()) {
-      m_metrics.Count("bronzebarrow_requests_of_unknown_plans_total", "");
-      return;
-    }
-    request_class = found->second;
+  const std::string labels = LabelsOf(call.m_plan);
+  if (labels.empty()) {
+    m_metrics.Count("bronzebarrow_requests_of_unknown_plans_total", "");
+    return;
   }
-  const std::string labels =
-      "plan=\"" + call.m_plan + "\",class=\"" + request_class + "\"";
-  const auto outcome = answer[kOutcomeHeader];
+  const auto header = answer[kOutcomeHeader];
+  const std::string outcome(header.begin(), header.end());
   m_metrics.Count("bronzebarrow_requests_total",
-                  labels + ",outcome=\"" +
-                      std::string(outcome.begin(), outcome.end()) + "\"");
+                  labels + ",outcome=\"" + outcome + "\"");
   m_metrics.Observe(
       "bronzebarrow_request_seconds", labels,
       std::chrono::duration<double>(Now() - call.m_received).count());
--- a/src/programs/entry/entry_node.h
+++ b/src/programs/entry/entry_node.h
@@ -90,6 +90,9 @@
   void Record(wire::LedgerCommandT command);
   wire::LedgerCommandT MakeLedgerCommand(wire::LedgerOp op,
                                          const Serving& serving) const;
+  /** @return the labels of a plan's metrics; empty for an unknown plan. */
+  std::string LabelsOf(const std::string& plan) const;
+  void ObserveQueueing(const CallerRequest& call, Instant queued);
   void CountCall(const CallerRequest& call, const net::HttpResponse& answer);
   bool MayRetry(const std::string& plan);
 
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(ReadsValuesAndDefaults);
   CPPUNIT_TEST(RefusesBadFiles);
   CPPUNIT_TEST(NamesFileLineSectionAndKey);
+  CPPUNIT_TEST(NamesTheDuplicateKey);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +74,15 @@
                    std::string::npos);
   }
 
+  void NamesTheDuplicateKey() {
+    const auto loaded = Load("[node]\nname = a\nport = 3\nname = b\n");
+    const auto& failure = std::get<Failure>(loaded);
+    CPPUNIT_ASSERT_MESSAGE(
+        failure.m_context,
+        failure.m_context.find("file.ini:4 [node] \"name = b\": duplicate") !=
+            std::string::npos);
+  }
+
  private:
   std::variant<Settings, Failure> Load(const std::string& text) {
     const std::string path = m_scratch.path() + "/file.ini";
