Take out what nothing reads, and make an announcement in one place

Cause: reading the whole change once more showed members and functions that nothing uses (a flag of the replica, a second byte count beside Traffic's, two router queries, a dialer query), parameters nothing reads in the fleet, a struct round one timer, and the same announcement built twice in the slopes. Ruled out: joining the settings loaders and the two shells' listeners; their shape is alike, their keys and handlers are not.

--- a/benchmark/slopes.cc
+++ b/benchmark/slopes.cc
@@ -73,6 +73,24 @@
   return instance;
 }
 
+// Lives longer than any measurement.
+wire::AnnouncementT MakeAnnouncement(std::size_t index) {
+  const wire::ObservationT instance = MakeInstance(index);
+  wire::AnnouncementT announcement;
+  announcement.instance = instance.instance;
+  announcement.pool = instance.pool;
+  announcement.zone = instance.zone;
+  announcement.rack = instance.rack;
+  announcement.host = "10.20.30.40";
+  announcement.port = 4040;
+  announcement.slots = 8;
+  announcement.connections = 64;
+  announcement.incarnation = kWallMs;
+  announcement.sequence = 1000;
+  announcement.ttl_ms = 3'600'000;
+  return announcement;
+}
+
 void MeasureLists() {
   for (const std::size_t plans : {5, 50, 430, 860}) {
     const ListTexts texts = MakeLists(plans, 261);
@@ -161,19 +179,7 @@
         std::move(std::get<fleet::Lists>(parsed))));
     const Instant now;
     for (std::size_t i = 0; i < targets; ++i) {
-      const wire::ObservationT instance = MakeInstance(i);
-      wire::AnnouncementT announcement;
-      announcement.instance = instance.instance;
-      announcement.pool = instance.pool;
-      announcement.zone = instance.zone;
-      announcement.rack = instance.rack;
-      announcement.host = "127.0.0.1";
-      announcement.port = 1;
-      announcement.slots = 8;
-      announcement.incarnation = 1;
-      announcement.sequence = 1;
-      announcement.ttl_ms = 3'600'000;
-      router.Announce(announcement, now);
+      router.Announce(MakeAnnouncement(i), now);
     }
     std::mt19937_64 random(FLAGS_seed);
     constexpr int kRequests = 5'000;
@@ -231,19 +237,7 @@
 
 void MeasureFrames() {
   std::mt19937_64 random(FLAGS_seed);
-  const wire::ObservationT instance = MakeInstance(random() % 1200);
-  wire::AnnouncementT announcement;
-  announcement.instance = instance.instance;
-  announcement.pool = instance.pool;
-  announcement.zone = instance.zone;
-  announcement.rack = instance.rack;
-  announcement.host = "10.20.30.40";
-  announcement.port = 4040;
-  announcement.slots = 8;
-  announcement.connections = 64;
-  announcement.incarnation = kWallMs;
-  announcement.sequence = 1000;
-  announcement.ttl_ms = 3500;
+  const wire::AnnouncementT announcement = MakeAnnouncement(random() % 1200);
   for (const std::size_t count : {1, 10, 100}) {
     wire::FrameT frame;
     wire::AnnouncementBatchT batch;
--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -185,7 +185,6 @@
   bool m_hard_dirty = false;
   bool m_snapshot_dirty = false;
   bool m_in_flight = false;
-  bool m_in_flight_hard = false;
   std::vector<Outgoing> m_gated;
   std::vector<Outgoing> m_in_flight_gated;
   std::vector<Outgoing> m_messages;
--- a/include/bronzebarrow/fleet/fleet.h
+++ b/include/bronzebarrow/fleet/fleet.h
@@ -20,7 +20,7 @@
 
 /** How long a returned instance is not yet counted on, in milliseconds. */
 constexpr std::uint64_t kProbationMs = 10'000;
-/** How many ended stops and waves are kept for operators to read. */
+/** How many ended stops are kept for operators to read. */
 constexpr std::size_t kKeptHistory = 64;
 /** How long a wave waits for a released instance to return. */
 constexpr std::uint64_t kReturnTimeoutMs = 10 * 60 * 1000;
@@ -99,7 +99,7 @@
   /** @return the margin of each use, as if `without` did not serve. */
   std::vector<Margin> Margins(const std::string& without = "") const;
   /** @return the stops that running waves want and the guard allows. */
-  std::vector<wire::AnnounceStopT> NextWaveStops(std::uint64_t now_ms) const;
+  std::vector<wire::AnnounceStopT> NextWaveStops() const;
   /** @return waves to halt: a released instance did not return in time. */
   std::vector<std::string> OverdueWaves(std::uint64_t now_ms) const;
 
@@ -116,12 +116,10 @@
 
  private:
   Margin MarginOf(const Use& use, const std::string& without) const;
-  void Step(const std::string& name, Instance& instance, InstanceEvent event,
-            std::uint64_t now_ms);
+  void Step(Instance& instance, InstanceEvent event, std::uint64_t now_ms);
   void EndStop(const std::string& stop_id, StopEvent event,
                std::uint64_t now_ms);
-  void OnWaveStopEnded(const std::string& stop_id, const Stop& stop,
-                       std::uint64_t now_ms);
+  void OnWaveStopEnded(const Stop& stop, std::uint64_t now_ms);
   void HaltWavesWith(const std::string& instance);
   void ForgetOldHistory();
   std::optional<std::string> OpenStopOf(const std::string& instance) const;
--- a/include/bronzebarrow/net/frame_connection.h
+++ b/include/bronzebarrow/net/frame_connection.h
@@ -43,9 +43,6 @@
   void Send(const wire::FrameT& frame);
   void Close();
 
-  /** @return bytes received and sent so far, frames only. */
-  std::uint64_t bytes_received() const { return m_bytes_received; }
-
  private:
   boost::asio::awaitable<void> ReadLoop();
   boost::asio::awaitable<void> WriteLoop();
@@ -60,7 +57,6 @@
   std::size_t m_queued_bytes = 0;
   bool m_writing = false;
   bool m_closed = false;
-  std::uint64_t m_bytes_received = 0;
 };
 
 using FrameConnectionPtr = std::shared_ptr<FrameConnection>;
--- a/include/bronzebarrow/net/frame_dialer.h
+++ b/include/bronzebarrow/net/frame_dialer.h
@@ -34,7 +34,6 @@
   void Reset();
   /** @return whether there was a connection to send on. */
   bool Send(const wire::FrameT& frame);
-  bool IsConnected() const;
 
  private:
   boost::asio::awaitable<void> Run();
--- a/include/bronzebarrow/routing/router.h
+++ b/include/bronzebarrow/routing/router.h
@@ -86,8 +86,6 @@
   RouteDecision Submit(const RouteRequest& request, Instant now);
   RouterActions Finish(const Dispatch& dispatch, TargetOutcome outcome,
                        Instant now);
-  /** Forgets a waiting request. */
-  void Abandon(std::uint64_t request_id);
   /** Ends waits past their deadline, times out targets, serves the queues. */
   RouterActions Advance(Instant now);
 
@@ -102,7 +100,6 @@
   const std::map<std::string, Target>& targets() const {
     return m_table.targets();
   }
-  std::size_t QueueLength(const std::string& pool) const;
   std::uint32_t InFlight() const { return m_in_flight; }
   std::size_t WaitingCount() const { return m_waiting.size(); }
 
--- a/src/control/control_core_duties.cc
+++ b/src/control/control_core_duties.cc
@@ -64,8 +64,7 @@
 }
 
 void ControlCore::WatchWaves() {
-  for (wire::AnnounceStopT& stop :
-       m_state.fleet().NextWaveStops(m_state.time_ms())) {
+  for (wire::AnnounceStopT& stop : m_state.fleet().NextWaveStops()) {
     EventLine(Event::kWaveUpdated)
         .Field("wave", stop.wave_id)
         .Field("next_instance", stop.instance);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -47,7 +47,7 @@
   stop.m_announced_ms = now_ms;
   stop.m_deadline_ms = now_ms + command.deadline_ms;
   m_stops.emplace(command.stop_id, std::move(stop));
-  Step(command.instance, found->second, InstanceEvent::kStopAnnounced, now_ms);
+  Step(found->second, InstanceEvent::kStopAnnounced, now_ms);
   if (command.reason == wire::StopReason::Wave) {
     Wave& wave = m_waves.at(command.wave_id);
     std::erase(wave.m_waiting, command.instance);
@@ -88,19 +88,18 @@
   stop.m_ended_ms = now_ms;
   Instance& instance = m_instances.at(stop.m_instance);
   if (event == StopEvent::kRelease) {
-    Step(stop.m_instance, instance, InstanceEvent::kStopReleased, now_ms);
+    Step(instance, InstanceEvent::kStopReleased, now_ms);
   } else if (event != StopEvent::kReturn) {
-    Step(stop.m_instance, instance, InstanceEvent::kStopAbandoned, now_ms);
+    Step(instance, InstanceEvent::kStopAbandoned, now_ms);
   }
   ++m_version;
   if (event != StopEvent::kRelease) {
-    OnWaveStopEnded(stop_id, stop, now_ms);
+    OnWaveStopEnded(stop, now_ms);
     ForgetOldHistory();
   }
 }
 
-void Fleet::OnWaveStopEnded(const std::string&, const Stop& stop,
-                            std::uint64_t now_ms) {
+void Fleet::OnWaveStopEnded(const Stop& stop, std::uint64_t now_ms) {
   const auto found = m_waves.find(stop.m_wave_id);
   if (stop.m_reason != wire::StopReason::Wave || found == m_waves.end()) {
     return;
@@ -186,7 +185,7 @@
   if (!observation.present) {
     if (Serves(instance.m_state) &&
         observation.incarnation >= instance.m_incarnation) {
-      Step(observation.instance, instance, InstanceEvent::kWentMissing, now_ms);
+      Step(instance, InstanceEvent::kWentMissing, now_ms);
       HaltWavesWith(observation.instance);
       ++m_version;
     }
@@ -206,7 +205,7 @@
   instance.m_incarnation = observation.incarnation;
   instance.m_zone = observation.zone;
   instance.m_rack = observation.rack;
-  Step(observation.instance, instance, InstanceEvent::kReturned, now_ms);
+  Step(instance, InstanceEvent::kReturned, now_ms);
   ++m_version;
   if (const auto open = OpenStopOf(observation.instance)) {
     EndStop(*open, StopEvent::kReturn, now_ms);
@@ -218,12 +217,12 @@
   for (auto& [name, instance] : m_instances) {
     if (instance.m_state == InstanceState::kProbation &&
         now_ms >= instance.m_since_ms + kProbationMs) {
-      Step(name, instance, InstanceEvent::kHeld, now_ms);
+      Step(instance, InstanceEvent::kHeld, now_ms);
     }
   }
 }
 
-void Fleet::Step(const std::string&, Instance& instance, InstanceEvent event,
+void Fleet::Step(Instance& instance, InstanceEvent event,
                  std::uint64_t now_ms) {
   const auto next = NextState(instance.m_state, event);
   BRONZEBARROW_INVARIANT(next.has_value());
--- a/src/fleet/guard.cc
+++ b/src/fleet/guard.cc
@@ -83,7 +83,7 @@
   return {};
 }
 
-std::vector<wire::AnnounceStopT> Fleet::NextWaveStops(std::uint64_t) const {
+std::vector<wire::AnnounceStopT> Fleet::NextWaveStops() const {
   std::vector<wire::AnnounceStopT> stops;
   for (const auto& [id, wave] : m_waves) {
     if (wave.m_state != WaveState::kRunning ||
--- a/src/net/frame_connection.cc
+++ b/src/net/frame_connection.cc
@@ -117,7 +117,6 @@
   if (error) {
     co_return nullptr;
   }
-  m_bytes_received += kPrefixBytes + length;
   Traffic::Global().m_received += kPrefixBytes + length;
   auto frame = wire::Decode<wire::Frame>(bytes);
   if (!frame || frame->body.type == wire::Body::NONE ||
--- a/src/net/frame_dialer.cc
+++ b/src/net/frame_dialer.cc
@@ -59,11 +59,6 @@
   return true;
 }
 
-bool FrameDialer::IsConnected() const {
-  const std::lock_guard lock(m_mutex);
-  return m_connection != nullptr;
-}
-
 asio::awaitable<FrameConnectionPtr> FrameDialer::Dial() {
   auto socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
   asio::steady_timer timeout(m_executor, kDialTimeout);
--- a/src/programs/control/control_operators.cc
+++ b/src/programs/control/control_operators.cc
@@ -51,13 +51,6 @@
                            json::serialize(body) + "\n");
 }
 
-// Wakes a coroutine on the strand when a result is there.
-struct Waiter {
-  explicit Waiter(const asio::strand<asio::any_io_executor>& strand)
-      : m_timer(strand) {}
-  asio::steady_timer m_timer;
-};
-
 }  // namespace
 
 struct ControlNode::Route {
@@ -141,8 +134,8 @@
 asio::awaitable<ControlNode::CallResult> ControlNode::Call(
     wire::CommandBodyUnion body) {
   const auto result = std::make_shared<CallResult>();
-  const auto waiter = std::make_shared<Waiter>(m_strand);
-  waiter->m_timer.expires_after(kCallTimeout);
+  const auto waiter = std::make_shared<asio::steady_timer>(m_strand);
+  waiter->expires_after(kCallTimeout);
   const bool proposed =
       m_core.Propose(std::move(body), CurrentMoment(),
                      [result, waiter](const control::ApplyResult* applied) {
@@ -150,13 +143,13 @@
                          result->m_done = true;
                          result->m_result = *applied;
                        }
-                       waiter->m_timer.cancel();
+                       waiter->cancel();
                      });
   if (proposed) {
     Flush();
     if (!result->m_done) {
       boost::system::error_code ignored;
-      co_await waiter->m_timer.async_wait(
+      co_await waiter->async_wait(
           asio::redirect_error(asio::use_awaitable, ignored));
     }
   }
@@ -166,17 +159,17 @@
 asio::awaitable<bool> ControlNode::Prove() {
   const auto proven = std::make_shared<bool>(false);
   const auto done = std::make_shared<bool>(false);
-  const auto waiter = std::make_shared<Waiter>(m_strand);
-  waiter->m_timer.expires_after(kCallTimeout);
+  const auto waiter = std::make_shared<asio::steady_timer>(m_strand);
+  waiter->expires_after(kCallTimeout);
   m_core.RequestProof(CurrentMoment(), [proven, done, waiter](bool ok) {
     *proven = ok;
     *done = true;
-    waiter->m_timer.cancel();
+    waiter->cancel();
   });
   Flush();
   if (!*done) {
     boost::system::error_code ignored;
-    co_await waiter->m_timer.async_wait(
+    co_await waiter->async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
   }
   co_return *proven;
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -169,8 +169,6 @@
   }
 }
 
-void Router::Abandon(std::uint64_t request_id) { RemoveWaiting(request_id); }
-
 void Router::RemoveWaiting(std::uint64_t request_id) {
   const auto found = m_waiting.find(request_id);
   if (found == m_waiting.end()) {
@@ -305,9 +303,4 @@
   return nullptr;
 }
 
-std::size_t Router::QueueLength(const std::string& pool) const {
-  const auto queue = m_queues.find(pool);
-  return queue == m_queues.end() ? 0 : queue->second.size();
-}
-
 }  // namespace bronzebarrow::routing
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -287,7 +287,7 @@
 
   std::size_t StepWaves() {
     std::size_t steps = 0;
-    for (const wire::AnnounceStopT& stop : m_fleet.NextWaveStops(m_now)) {
+    for (const wire::AnnounceStopT& stop : m_fleet.NextWaveStops()) {
       steps += m_fleet.Announce(stop, m_now).ok() ? 1 : 0;
     }
     return steps;
