--- a/include/bronzebarrow/base/error_code.h
+++ b/include/bronzebarrow/base/error_code.h
@@ -74,12 +74,13 @@
   kTargetTimeout,
   kInProgress,
   kLedgerFull,
+  kRunnerReportInvalid,
   kInternal,
 };
 
 template <>
 struct EnumNames<ErrorCode> {
-  static constexpr std::array<std::string_view, 60> kNames = {
+  static constexpr std::array<std::string_view, 61> kNames = {
       "ok",
       "settings_unreadable",
       "settings_malformed",
@@ -139,6 +140,7 @@
       "target_timeout",
       "in_progress",
       "ledger_full",
+      "runner_report_invalid",
       "internal",
   };
 };
--- a/include/bronzebarrow/base/event_log.h
+++ b/include/bronzebarrow/base/event_log.h
@@ -46,11 +46,38 @@
   kAnnouncementRefused,
   kRecordRefused,
   kDrillReport,
+  kSettingsReloaded,
+  kLeadershipTaken,
+  kLeadershipLost,
+  kLeadershipOffered,
+  kOwnershipTaken,
+  kJobAccepted,
+  kJobRefused,
+  kJobEnded,
+  kJobCancelled,
+  kRunAssigned,
+  kRunEnded,
+  kRunRejected,
+  kRunStopped,
+  kRunnerRegistered,
+  kRunnerRemoved,
+  kRunnerFenced,
+  kRunnerSilent,
+  kRunnerLapsed,
+  kCallUncertain,
+  kCallRefused,
+  kUpkeepStarted,
+  kUpkeepStep,
+  kMachineMoved,
+  kPaceChanged,
+  kAdviceTaken,
+  kReadinessChanged,
+  kSummary,
 };
 
 template <>
 struct EnumNames<Event> {
-  static constexpr std::array<std::string_view, 34> kNames = {
+  static constexpr std::array<std::string_view, 61> kNames = {
       "process_started",   "process_stopping",     "process_stopped",
       "settings_refused",  "role_changed",         "membership_changed",
       "snapshot_written",  "snapshot_installed",   "log_recovered",
@@ -63,6 +90,33 @@
       "peer_disconnected", "frame_refused",        "request_refused",
       "request_unknown",   "announcement_refused", "record_refused",
       "drill_report",
+      "settings_reloaded",
+      "leadership_taken",
+      "leadership_lost",
+      "leadership_offered",
+      "ownership_taken",
+      "job_accepted",
+      "job_refused",
+      "job_ended",
+      "job_cancelled",
+      "run_assigned",
+      "run_ended",
+      "run_rejected",
+      "run_stopped",
+      "runner_registered",
+      "runner_removed",
+      "runner_fenced",
+      "runner_silent",
+      "runner_lapsed",
+      "call_uncertain",
+      "call_refused",
+      "upkeep_started",
+      "upkeep_step",
+      "machine_moved",
+      "pace_changed",
+      "advice_taken",
+      "readiness_changed",
+      "summary",
   };
 };
 
@@ -93,13 +147,21 @@
  private:
   void Append(std::string_view key, const std::string& value);
 
+  Event m_event;
   Severity m_severity;
   std::string m_line;
 };
 
-/** Prepares the log of a program: to standard error, one line an event. */
+/**
+ * Prepares the log of a program: to standard output, one line an event. Lines
+ * that nobody reads, or over the bound of a second, are counted and dropped.
+ */
 void StartLog(const char* program);
 
+/** Keeps lines until FlushLog, an error or a full page; saves writes. */
+void SetLogBatching(bool batching);
+void FlushLog();
+
 }  // namespace bronzebarrow
 
 #endif  // BRONZEBARROW_BASE_EVENT_LOG_H_
--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -31,6 +31,10 @@
   std::size_t m_max_append_entries = 512;
   std::size_t m_max_append_bytes = 1 << 20;
   std::uint64_t m_seed = 1;
+  /** A member unheard for this long is removed; zero: never. */
+  Duration m_remove_after = Millis(0);
+  /** Voters that are kept even when unheard: 2 f + 1 for f losses. */
+  std::size_t m_min_voters = 3;
 };
 
 /** A message to one replica; generation 0 addresses any generation. */
@@ -70,6 +74,19 @@
    */
   std::optional<std::uint64_t> RequestProof();
   std::uint64_t proven_round() const { return m_proven_round; }
+  /**
+   * @return when the last proven round was sent: no other replica led before
+   * that; nothing when none was proven in this term.
+   */
+  std::optional<Instant> proven_at() const { return m_proven_at; }
+
+  /** Names that a replica outside the group asks to let it join. */
+  void SetPeers(std::vector<std::string> peers);
+  /**
+   * Asks the voter with the longest log to lead instead.
+   * @return whether one was asked.
+   */
+  bool OfferLeadership();
 
   std::vector<Outgoing> TakeMessages(Instant now);
   bool HasBatch() const;
@@ -125,8 +142,10 @@
   void BecomeLeader(Instant now);
   void CheckQuorumContact(Instant now);
   void ResetElectionDeadline(Instant now);
+  void OnTransferLead(const ReplicaId& from, std::uint64_t term, Instant now);
+  void RemoveLostMember(Instant now);
   void SendJoinRequests();
-  void BroadcastVoteRequest(std::uint64_t term, bool pre_vote);
+  void BroadcastVoteRequest(std::uint64_t term, bool pre_vote, bool transfer);
 
   LogPosition AppendLocal(wire::EntryKind kind,
                           std::vector<std::uint8_t> payload);
@@ -194,6 +213,9 @@
   std::uint64_t m_term_start = 0;
   std::uint64_t m_round = 0;         // Last round sent; never decreases.
   std::uint64_t m_proven_round = 0;  // <= m_round; acked by a quorum.
+  // Rounds sent and not proven, with the time they were sent.
+  std::deque<std::pair<std::uint64_t, Instant>> m_rounds_sent;
+  std::optional<Instant> m_proven_at;
   bool m_proof_wanted = false;
   bool m_append_wanted = false;
   Instant m_next_heartbeat;
--- a/include/bronzebarrow/control/control_core.h
+++ b/include/bronzebarrow/control/control_core.h
@@ -19,12 +19,6 @@
 
 namespace bronzebarrow::control {
 
-/** Both clocks at one event: monotonic for leases, wall for the log. */
-struct Moment {
-  Instant m_now;
-  std::uint64_t m_wall_ms = 0;
-};
-
 /** A connection of an entry, named by the shell. */
 using SessionId = std::uint64_t;
 
--- a/include/bronzebarrow/fleet.h
+++ b/include/bronzebarrow/fleet.h
@@ -5,5 +5,6 @@
 #include "bronzebarrow/fleet/fleet.h"
 #include "bronzebarrow/fleet/lifecycle.h"
 #include "bronzebarrow/fleet/lists.h"
+#include "bronzebarrow/fleet/machine.h"
 
 #endif  // BRONZEBARROW_FLEET_H_
--- /dev/null
+++ b/include/bronzebarrow/jobs.h
@@ -0,0 +1,13 @@
+// Public header of the jobs library: queues, jobs, tasks, runners and upkeep
+// waves as one replicated state machine.
+#ifndef BRONZEBARROW_JOBS_H_
+#define BRONZEBARROW_JOBS_H_
+
+#include "bronzebarrow/jobs/job.h"
+#include "bronzebarrow/jobs/queue_table.h"
+#include "bronzebarrow/jobs/runner.h"
+#include "bronzebarrow/jobs/task_key.h"
+#include "bronzebarrow/jobs/upkeep.h"
+#include "bronzebarrow/jobs/work_state.h"
+
+#endif  // BRONZEBARROW_JOBS_H_
--- a/include/bronzebarrow/net/frame_dialer.h
+++ b/include/bronzebarrow/net/frame_dialer.h
@@ -40,7 +40,7 @@
   boost::asio::awaitable<FrameConnectionPtr> Dial();
   boost::asio::awaitable<void> Watch(FrameConnectionPtr connection);
 
-  boost::asio::any_io_executor m_executor;
+  boost::asio::any_io_executor m_executor;  // A strand.
   Options m_options;
   OnFrame m_on_frame;
   OnConnect m_on_connect;
--- a/include/bronzebarrow/net/http_server.h
+++ b/include/bronzebarrow/net/http_server.h
@@ -27,7 +27,7 @@
 
 /** The largest header and body accepted, in bytes. */
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
-constexpr std::size_t kMaxBodyBytes = 1 << 20;
+constexpr std::size_t kMaxBodyBytes = 4 << 20;
 
 class HttpServer {
  public:
@@ -41,6 +41,8 @@
 
   /** Stops accepting; answers from now on close their connection. */
   void StopAccepting();
+  /** Accepts on, but answers from now on close their connection. */
+  void CloseWhenIdle() { m_stopping = true; }
   /** Closes every connection at once, also those being served. */
   void CloseAll();
   std::uint16_t port() const { return m_acceptor->port(); }
--- a/include/bronzebarrow/net/target_pool.h
+++ b/include/bronzebarrow/net/target_pool.h
@@ -48,9 +48,13 @@
   explicit TargetPool(boost::asio::any_io_executor executor)
       : m_executor(std::move(executor)) {}
 
-  /** @return an idle or new connection, or null; no byte of a request left. */
+  /**
+   * @return an idle or new connection, or null; no byte of a request left.
+   * @param refused set when nothing listens at the address; may be null
+   */
   boost::asio::awaitable<TargetConnectionPtr> Acquire(Address address,
-                                                      Instant deadline);
+                                                      Instant deadline,
+                                                      bool* refused = nullptr);
 
   /**
    * Sends a request and reads its answer whole. The connection goes back to
--- /dev/null
+++ b/include/bronzebarrow/node/member_node.h
@@ -0,0 +1,112 @@
+// One member of the group as a process: the shell round the work core.
+#ifndef BRONZEBARROW_NODE_MEMBER_NODE_H_
+#define BRONZEBARROW_NODE_MEMBER_NODE_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/base/metrics.h"
+#include "bronzebarrow/consensus.h"
+#include "bronzebarrow/net.h"
+#include "bronzebarrow/node/dialect.h"
+#include "bronzebarrow/node/leader_link.h"
+#include "bronzebarrow/node/work_core.h"
+
+namespace bronzebarrow::node {
+
+struct MemberSettings {
+  std::string m_name;    // Host and port at which other members reach it.
+  Address m_listen;
+  std::vector<std::string> m_seeds;  // Members to begin with, named alike.
+  std::string m_data;                // Data folder.
+  /** The seeds found the group; only when the whole system is new. */
+  bool m_is_first_start = false;
+  std::size_t m_losses = 1;  // Members that may be lost at once.
+  std::string m_machine_api;  // Host and port; empty: none.
+  std::string m_adviser;      // Host and port; empty: none.
+  Duration m_election_timeout = Millis(600);
+  Duration m_heartbeat = Millis(100);
+  UpkeepOptions m_upkeep;
+};
+
+/** Runs on one executor that handles one event at a time. */
+class MemberNode : public std::enable_shared_from_this<MemberNode> {
+ public:
+  /** Opens the data folder, or founds the group, and builds the node. */
+  static Result<std::shared_ptr<MemberNode>> Open(
+      boost::asio::any_io_executor executor, MemberSettings settings,
+      std::shared_ptr<const Dialect> dialect);
+
+  Result<void> Start();
+  /** Hands the leadership over; `done` is called when the node may end. */
+  void Retire(std::function<void()> done);
+  void SetSeeds(std::vector<std::string> seeds);
+
+  /** Carries a call to the leader, which may be this member. */
+  boost::asio::awaitable<wire::CallReplyT> Call(wire::CallBodyUnion body,
+                                                Instant deadline);
+
+  const WorkCore& core() const { return *m_core; }
+  Metrics& metrics() { return m_metrics; }
+
+ private:
+  struct LocalCall {
+    explicit LocalCall(const boost::asio::any_io_executor& executor)
+        : m_wake(executor) {}
+    boost::asio::steady_timer m_wake;
+    std::optional<wire::CallReplyT> m_reply;
+  };
+
+  MemberNode(boost::asio::any_io_executor executor, MemberSettings settings,
+             std::shared_ptr<const Dialect> dialect,
+             std::unique_ptr<consensus::LogStore> store);
+
+  void ScheduleTick();
+  void OnFrame(const net::FrameConnectionPtr& connection,
+               std::unique_ptr<wire::FrameT> frame);
+  void Flush();
+  void StartBatch();
+  void SendReply(ReplyOut& reply);
+  void TellViews();
+  void SendView(const net::FrameConnectionPtr& connection);
+  boost::asio::awaitable<std::optional<net::HttpResponse>> Exchange(
+      std::string address, net::HttpRequest request, Duration timeout,
+      bool* refused);
+  boost::asio::awaitable<void> RunCall(runs::RunnerCall call);
+  boost::asio::awaitable<void> RunOrder(fleet::MachineOrder order);
+  boost::asio::awaitable<void> RunAdvice(AdviceRequest request);
+  boost::asio::awaitable<wire::CallReplyT> CallHere(
+      const wire::CallBodyUnion& body, Instant deadline);
+
+  boost::asio::any_io_executor m_executor;
+  MemberSettings m_settings;
+  std::shared_ptr<const Dialect> m_dialect;
+  std::unique_ptr<consensus::LogStore> m_store;
+  consensus::ReplicaId m_id;
+  std::unique_ptr<WorkCore> m_core;
+  LeaderLink m_link;
+  net::TargetPool m_pool;
+  Metrics m_metrics;
+  boost::asio::steady_timer m_tick;
+  boost::asio::thread_pool m_disk{1};
+  std::shared_ptr<net::Acceptor> m_acceptor;
+  std::set<net::FrameConnectionPtr> m_watchers;  // Told of leader changes.
+  std::map<CallSource, net::FrameConnectionPtr> m_remote_calls;
+  std::map<CallSource, std::shared_ptr<LocalCall>> m_local_calls;
+  CallSource m_next_source = 1;
+  bool m_told_leading = false;
+  std::string m_told_leader;
+  bool m_stopping = false;
+};
+
+}  // namespace bronzebarrow::node
+
+#endif  // BRONZEBARROW_NODE_MEMBER_NODE_H_
--- /dev/null
+++ b/include/bronzebarrow/node/peer_table.h
@@ -0,0 +1,53 @@
+// Connections to the members of the group, by address.
+#ifndef BRONZEBARROW_NODE_PEER_TABLE_H_
+#define BRONZEBARROW_NODE_PEER_TABLE_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "bronzebarrow/net.h"
+
+namespace bronzebarrow::node {
+
+/**
+ * A member is named by the address at which the others reach it. Runs on one
+ * executor that handles one event at a time.
+ */
+class PeerTable {
+ public:
+  using OnFrame = std::function<void(const std::string& peer,
+                                     std::unique_ptr<wire::FrameT>)>;
+  using OnPeer = std::function<void(const std::string& peer)>;
+
+  PeerTable(boost::asio::any_io_executor executor, OnFrame on_frame,
+            OnPeer on_connect)
+      : m_executor(std::move(executor)),
+        m_on_frame(std::move(on_frame)),
+        m_on_connect(std::move(on_connect)) {}
+
+  /** Begins to dial a peer that is not known yet. */
+  void Add(const std::string& peer);
+  /** Gives up the peers that `keep` does not want. */
+  void Prune(const std::function<bool(const std::string&)>& keep);
+  /** @return whether there was a connection to send on. */
+  bool Send(const std::string& peer, const wire::FrameT& frame);
+  /** Ends the current connection to a peer, e.g. one gone silent. */
+  void Reset(const std::string& peer);
+  void Stop();
+  bool Contains(const std::string& peer) const {
+    return m_dialers.contains(peer);
+  }
+
+ private:
+  boost::asio::any_io_executor m_executor;
+  OnFrame m_on_frame;
+  OnPeer m_on_connect;
+  std::map<std::string, std::shared_ptr<net::FrameDialer>> m_dialers;
+};
+
+}  // namespace bronzebarrow::node
+
+#endif  // BRONZEBARROW_NODE_PEER_TABLE_H_
--- a/scripts/lib/group.sh
+++ b/scripts/lib/group.sh
@@ -91,8 +91,28 @@
   operate apply "examples/$EXAMPLE/plans.ini" "examples/$EXAMPLE/uses.ini" "$@"
 }
 
-status_number() {  # status_number KEY: a number at the top of the status
-  operate --json status | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"
+status_number() {  # status_number KEY: a number at the top level of the status
+  operate --json status | python3 -c '
+import json, sys
+value = json.load(sys.stdin).get(sys.argv[1])
+print("" if value is None else value)' "$1"
+}
+
+entry_versions() {  # the configuration version of each entry, one a line
+  operate --json status | python3 -c '
+import json, sys
+for entry in json.load(sys.stdin)["entries"]:
+    print(entry["config_version"])'
+}
+
+check_example() {  # check_example NAME SEED: refuses unknown examples and seeds
+  if [ ! -d "examples/$1" ]; then
+    echo "unknown example \"$1\": $(ls examples | tr '\n' ' ')" >&2
+    exit 2
+  fi
+  case "$2" in
+    '' | *[!0-9]*) echo "the seed \"$2\" is not a number" >&2; exit 2 ;;
+  esac
 }
 
 leader() { operate --json status | sed -n 's/.*"leader":"\([a-z0-9]*\)".*/\1/p'; }
--- a/src/base/error_code.cc
+++ b/src/base/error_code.cc
@@ -65,6 +65,7 @@
         "the target did not answer in time",
         "the request is being run by another attempt",
         "the ledger holds as many keys as it may",
+        "the runner's report about itself cannot be used",
         "an internal error",
 };
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,11 +1,136 @@
-// Event lines over glog.
+// Event lines to standard output, bounded and never blocking; to glog in
+// programs that did not start the log.
 #include "bronzebarrow/base/event_log.h"
 
 #include <glog/logging.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <mutex>
+
+#include "bronzebarrow/base/time.h"
 
 namespace bronzebarrow {
 namespace {
 
+// Lines of one kind of event that are written in a second; the rest are
+// counted, so that a storm of events costs neither time nor disk.
+constexpr std::uint32_t kLinesPerSecond = 400;
+// Bytes kept while nobody reads standard output; later lines are counted.
+constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+// A pipe that polls as writable takes this much without blocking (PIPE_BUF).
+constexpr std::size_t kWriteBytes = 4096;
+constexpr std::array<char, 3> kSeverityLetters = {'I', 'W', 'E'};
+
+/** Buffer in front of standard output; thread-safe. */
+class LogSink {
+ public:
+  static LogSink& Global() {
+    static LogSink sink;
+    return sink;
+  }
+
+  void Start() {
+    const std::lock_guard lock(m_mutex);
+    m_started = true;
+  }
+
+  void SetBatching(bool batching) {
+    const std::lock_guard lock(m_mutex);
+    m_batching = batching;
+  }
+
+  /** @return false when the log was not started. */
+  bool Take(Event event, Severity severity, const std::string& line) {
+    const std::lock_guard lock(m_mutex);
+    if (!m_started) {
+      return false;
+    }
+    const std::uint64_t now_ms = WallMillis();
+    if (!Admit(event, severity, now_ms) ||
+        m_buffer.size() + line.size() > kMaxBufferedBytes) {
+      ++m_dropped;
+      return true;
+    }
+    AppendTime(now_ms);
+    m_buffer += kSeverityLetters.at(static_cast<std::size_t>(severity));
+    m_buffer += ' ';
+    m_buffer += line;
+    if (m_dropped > 0) {
+      m_buffer += " lines_dropped_before=" + std::to_string(m_dropped);
+      m_dropped = 0;
+    }
+    m_buffer += '\n';
+    if (!m_batching || severity == Severity::kError ||
+        m_buffer.size() >= kWriteBytes) {
+      Write();
+    }
+    return true;
+  }
+
+  void Flush() {
+    const std::lock_guard lock(m_mutex);
+    Write();
+  }
+
+ private:
+  struct Budget {
+    std::uint64_t m_second = 0;
+    std::uint32_t m_used = 0;
+  };
+
+  bool Admit(Event event, Severity severity, std::uint64_t now_ms) {
+    Budget& budget = m_budgets.at(static_cast<std::size_t>(event));
+    const std::uint64_t second = now_ms / 1000;
+    if (budget.m_second != second) {
+      budget = {second, 0};
+    }
+    return ++budget.m_used <= kLinesPerSecond || severity == Severity::kError;
+  }
+
+  void AppendTime(std::uint64_t now_ms) {
+    const auto seconds = static_cast<std::time_t>(now_ms / 1000);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    std::snprintf(text.data(), text.size(), "%02d:%02d:%02d.%03d ",
+                  parts.tm_hour, parts.tm_min, parts.tm_sec,
+                  static_cast<int>(now_ms % 1000));
+    m_buffer += text.data();
+  }
+
+  void Write() {
+    std::size_t done = 0;
+    while (done < m_buffer.size()) {
+      pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+      if (::poll(&output, 1, 0) <= 0) {
+        break;
+      }
+      const std::size_t size = std::min(kWriteBytes, m_buffer.size() - done);
+      const ssize_t written =
+          ::write(STDOUT_FILENO, m_buffer.data() + done, size);
+      if (written <= 0) {
+        done = m_buffer.size();  // Nobody can read it: nothing to keep.
+        break;
+      }
+      done += static_cast<std::size_t>(written);
+    }
+    m_buffer.erase(0, done);
+  }
+
+  std::mutex m_mutex;  // Guards all members; a leaf lock.
+  std::string m_buffer;
+  std::array<Budget, EnumNames<Event>::kNames.size()> m_budgets;
+  std::uint64_t m_dropped = 0;  // Lines dropped since the last written one.
+  bool m_started = false;
+  bool m_batching = false;
+};
+
 bool NeedsQuotes(const std::string& value) {
   return value.empty() ||
          value.find_first_of(" \"=\n\t\r") != std::string::npos;
@@ -32,11 +157,14 @@
 }  // namespace
 
 EventLine::EventLine(Event event, Severity severity)
-    : m_severity(severity), m_line("event=") {
+    : m_event(event), m_severity(severity), m_line("event=") {
   m_line += NameOf(event);
 }
 
 EventLine::~EventLine() {
+  if (LogSink::Global().Take(m_event, m_severity, m_line)) {
+    return;
+  }
   switch (m_severity) {
     case Severity::kInfo:
       LOG(INFO) << m_line;
@@ -65,6 +193,12 @@
 void StartLog(const char* program) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
+  LogSink::Global().Start();
+  std::atexit([] { LogSink::Global().Flush(); });
 }
 
+void SetLogBatching(bool batching) { LogSink::Global().SetBatching(batching); }
+
+void FlushLog() { LogSink::Global().Flush(); }
+
 }  // namespace bronzebarrow
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -46,6 +46,7 @@
       CheckQuorumContact(now);
       if (role() == Role::kLeader && now >= m_next_heartbeat) {
         StartRound(now);
+        RemoveLostMember(now);
       }
       break;
     case Role::kFollower:
@@ -82,6 +83,9 @@
     case wire::Body::SnapshotRequest:
       OnSnapshotRequest(from, *body.AsSnapshotRequest(), now);
       break;
+    case wire::Body::TransferLead:
+      OnTransferLead(from, body.AsTransferLead()->term, now);
+      break;
     case wire::Body::JoinRequest:
       OnJoinRequest(from, now);
       break;
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -43,7 +43,7 @@
   m_leader.reset();
   ResetElectionDeadline(now);
   m_votes = {id()};
-  BroadcastVoteRequest(m_term + 1, true);
+  BroadcastVoteRequest(m_term + 1, true, false);
   CheckVotes(now);
 }
 
@@ -57,11 +57,51 @@
   m_hard_dirty = true;
   m_votes = {id()};
   ResetElectionDeadline(now);
-  BroadcastVoteRequest(m_term, false);
+  BroadcastVoteRequest(m_term, false, false);
 }
 
-void Replica::BroadcastVoteRequest(std::uint64_t term, bool pre_vote) {
+void Replica::OnTransferLead(const ReplicaId& from, std::uint64_t term,
+                             Instant now) {
+  const bool asked = term == m_term && m_leader && *m_leader == from;
+  if (!asked || !m_role.Process(RoleEvent::kElectionTimeout)) {
+    return;
+  }
+  m_role.Process(RoleEvent::kPreVoteWon);
+  ++m_term;
+  m_vote = id();
+  m_leader.reset();
+  m_hard_dirty = true;
+  m_votes = {id()};
+  ResetElectionDeadline(now);
+  BroadcastVoteRequest(m_term, false, true);
+}
+
+bool Replica::OfferLeadership() {
+  if (!IsReadyLeader()) {
+    return false;
+  }
+  const Progress* best = nullptr;
+  ReplicaId target;
+  for (const auto& [peer, progress] : m_progress) {
+    const bool better = best == nullptr || progress.m_match > best->m_match;
+    if (membership().IsVoter(peer) && better) {
+      best = &progress;
+      target = peer;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  wire::TransferLeadT transfer;
+  transfer.term = m_term;
+  m_messages.push_back(Make(target, transfer));
+  return true;
+}
+
+void Replica::BroadcastVoteRequest(std::uint64_t term, bool pre_vote,
+                                   bool transfer) {
   wire::VoteRequestT request;
+  request.transfer = transfer;
   request.term = term;
   request.pre_vote = pre_vote;
   request.last_index = last_index();
@@ -87,7 +127,12 @@
       role() == Role::kLeader ||
       (m_leader && m_leader_ever_heard &&
        now < m_leader_heard + m_options.m_election_timeout);
-  if (leader_is_alive && request.term > m_term) {
+  if (role() == Role::kLeader && !membership().Contains(from)) {
+    // A member that was removed while it was away does not know it yet.
+    OnJoinRequest(from, now);
+    return;
+  }
+  if (leader_is_alive && request.term > m_term && !request.transfer) {
     return;
   }
   if (!request.pre_vote) {
@@ -149,6 +194,8 @@
   m_leader = id();
   m_progress.clear();
   m_proven_round = m_round;
+  m_rounds_sent.clear();
+  m_proven_at.reset();
   m_proof_wanted = false;
   for (const Member& member : membership().members()) {
     if (member.m_id != id()) {
--- a/src/consensus/replica_membership.cc
+++ b/src/consensus/replica_membership.cc
@@ -27,6 +27,28 @@
   }
 }
 
+void Replica::SetPeers(std::vector<std::string> peers) {
+  m_options.m_peers = std::move(peers);
+}
+
+// A lost voter goes only when enough voters stay, so a group keeps the size
+// that its losses were planned for; a lost learner only costs messages.
+void Replica::RemoveLostMember(Instant now) {
+  if (m_options.m_remove_after == Duration::zero() || !IsReadyLeader() ||
+      !MembershipSettled()) {
+    return;
+  }
+  for (const auto& [peer, progress] : m_progress) {
+    const bool lost = now > progress.m_last_ack + m_options.m_remove_after;
+    const bool voter = membership().IsVoter(peer);
+    if (lost &&
+        (!voter || membership().VoterCount() > m_options.m_min_voters)) {
+      ProposeMembership(membership().Without(peer.m_name));
+      return;
+    }
+  }
+}
+
 void Replica::ProposeMembership(const Membership& membership) {
   AppendLocal(wire::EntryKind::Membership,
               wire::Encode<wire::Membership>(membership.ToWire()));
--- a/src/consensus/replica_replication.cc
+++ b/src/consensus/replica_replication.cc
@@ -43,6 +43,7 @@
 
 void Replica::StartRound(Instant now) {
   ++m_round;
+  m_rounds_sent.emplace_back(m_round, now);
   m_proof_wanted = false;
   m_append_wanted = false;
   m_next_heartbeat = now + m_options.m_heartbeat_interval;
@@ -296,6 +297,11 @@
   const std::uint64_t proven = rounds[membership().Quorum() - 1];
   m_proven_round = std::max(m_proven_round, proven);
   BRONZEBARROW_INVARIANT(m_proven_round <= m_round);
+  while (!m_rounds_sent.empty() &&
+         m_rounds_sent.front().first <= m_proven_round) {
+    m_proven_at = m_rounds_sent.front().second;
+    m_rounds_sent.pop_front();
+  }
 }
 
 }  // namespace bronzebarrow::consensus
--- /dev/null
+++ b/src/jobs/job.cc
@@ -0,0 +1,92 @@
+// Jobs: steps, occurrences and what callers see of them.
+#include "bronzebarrow/jobs/job.h"
+
+#include <algorithm>
+
+namespace bronzebarrow::jobs {
+namespace {
+
+// Bounds on one job, so that a single submission cannot exhaust the memory of
+// the control members. The users' widest step has about 100 tasks.
+constexpr std::size_t kMaxSteps = 1000;
+constexpr std::size_t kMaxTasks = 20'000;
+
+}  // namespace
+
+bool Occurrence::IsDone() const {
+  return std::all_of(m_steps.begin(), m_steps.end(),
+                     [](const StepState& step) { return step.IsDone(); });
+}
+
+bool Job::IsLasting() const {
+  return std::any_of(m_spec.steps.begin(), m_spec.steps.end(),
+                     [](const auto& step) { return step->lasting; });
+}
+
+wire::JobPhase Job::Phase() const {
+  switch (m_state) {
+    case JobState::kActive:
+      return m_started ? wire::JobPhase::Running : wire::JobPhase::Queued;
+    case JobState::kCompleted:
+      return wire::JobPhase::Completed;
+    case JobState::kFailed:
+      return wire::JobPhase::Failed;
+    case JobState::kCancelled:
+      return wire::JobPhase::Cancelled;
+  }
+  return wire::JobPhase::Queued;
+}
+
+const Task* Job::Find(const TaskKey& key) const {
+  const auto occurrence = m_occurrences.find(key.m_occurrence);
+  if (occurrence == m_occurrences.end() ||
+      key.m_step >= occurrence->second.m_steps.size()) {
+    return nullptr;
+  }
+  const StepState& step = occurrence->second.m_steps[key.m_step];
+  return key.m_index < step.m_tasks.size() ? &step.m_tasks[key.m_index]
+                                           : nullptr;
+}
+
+Task* Job::Find(const TaskKey& key) {
+  return const_cast<Task*>(std::as_const(*this).Find(key));
+}
+
+bool Job::IsStepOpen(const Occurrence& occurrence, std::size_t number) const {
+  const auto& depends_on = m_spec.steps[number]->depends_on;
+  return std::all_of(depends_on.begin(), depends_on.end(),
+                     [&](std::uint32_t earlier) {
+                       return occurrence.m_steps[earlier].IsDone();
+                     });
+}
+
+void Job::OpenOccurrence() {
+  Occurrence& occurrence = m_occurrences[m_opened++];
+  for (const auto& spec : m_spec.steps) {
+    StepState& step = occurrence.m_steps.emplace_back();
+    step.m_tasks.resize(spec->count);
+    step.m_waiting = spec->count;
+  }
+}
+
+std::string ProblemOf(const wire::JobSpecT& spec) {
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
+    return "a job has 1 to 1000 steps";
+  }
+  std::size_t tasks = 0;
+  for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+    const wire::StepSpecT& step = *spec.steps[number];
+    tasks += step.count;
+    if (step.count == 0 || tasks > kMaxTasks) {
+      return "a step has at least one task, a job at most 20000";
+    }
+    for (const std::uint32_t earlier : step.depends_on) {
+      if (earlier >= number) {
+        return "a step depends on earlier steps only";
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace bronzebarrow::jobs
--- /dev/null
+++ b/src/jobs/work_state.cc
@@ -0,0 +1,416 @@
+// Applying commands to the state of work.
+#include "bronzebarrow/jobs/work_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bronzebarrow/base/check.h"
+
+namespace bronzebarrow::jobs {
+namespace {
+
+constexpr std::size_t kMaxKeptWaves = 64;
+
+}  // namespace
+
+const std::map<wire::WorkBody, WorkState::Handler>& WorkState::Handlers() {
+  using wire::WorkBody;
+  static const std::map<WorkBody, Handler> kHandlers = {
+      {WorkBody::TakeOwnership, &WorkState::TakeOwnership},
+      {WorkBody::PutConfig, &WorkState::PutConfig},
+      {WorkBody::AcceptJob, &WorkState::AcceptJob},
+      {WorkBody::CancelJob, &WorkState::CancelJob},
+      {WorkBody::AssignRuns, &WorkState::AssignRuns},
+      {WorkBody::EndRuns, &WorkState::EndRuns},
+      {WorkBody::RegisterRunner, &WorkState::RegisterRunner},
+      {WorkBody::RemoveRunner, &WorkState::RemoveRunner},
+      {WorkBody::OpenOccurrences, &WorkState::OpenOccurrences},
+      {WorkBody::StartUpkeep, &WorkState::StartUpkeep},
+      {WorkBody::RecordUpkeep, &WorkState::RecordUpkeep},
+      {WorkBody::ForgetJobs, &WorkState::ForgetJobs},
+  };
+  return kHandlers;
+}
+
+Applied WorkState::Apply(const wire::WorkCommandT& command,
+                         std::uint64_t index) {
+  Applied applied;
+  applied.m_token = command.token;
+  applied.m_kind = command.body.type;
+  m_time_ms = std::max(m_time_ms, command.time_ms);
+  m_index = index;
+  const auto handler = Handlers().find(command.body.type);
+  if (handler != Handlers().end()) {
+    (this->*handler->second)(command.body, applied);
+  }
+  return applied;
+}
+
+const Job* WorkState::FindJob(JobId id) const {
+  const auto job = m_jobs.find(id);
+  return job == m_jobs.end() ? nullptr : &job->second;
+}
+
+const Runner* WorkState::FindRunner(const std::string& id) const {
+  const auto runner = m_runners.find(id);
+  return runner == m_runners.end() ? nullptr : &runner->second;
+}
+
+const wire::StepSpecT* WorkState::FindStep(const TaskKey& task) const {
+  const Job* const job = FindJob(task.m_job);
+  return job != nullptr && task.m_step < job->m_spec.steps.size()
+             ? job->m_spec.steps[task.m_step].get()
+             : nullptr;
+}
+
+std::uint32_t WorkState::WaitingCount(const std::string& queue) const {
+  std::uint32_t count = 0;
+  for (const auto& [number, id] : m_active) {
+    const Job& job = m_jobs.at(id);
+    count += job.m_queue == queue && !job.m_started ? 1 : 0;
+  }
+  return count;
+}
+
+void WorkState::TakeOwnership(const wire::WorkBodyUnion& body,
+                              Applied& applied) {
+  BRONZEBARROW_INVARIANT(m_index > m_epoch);
+  m_epoch = m_index;
+  m_owner = body.AsTakeOwnership()->member;
+  applied.m_changed = true;
+}
+
+void WorkState::PutConfig(const wire::WorkBodyUnion& body, Applied& applied) {
+  const auto& config = body.AsPutConfig()->config;
+  if (!config || config->version <= m_queues.version()) {
+    return;
+  }
+  m_queues = QueueTable(*config);
+  applied.m_changed = true;
+}
+
+void WorkState::AcceptJob(const wire::WorkBodyUnion& body, Applied& applied) {
+  const wire::AcceptJobT& accept = *body.AsAcceptJob();
+  const auto id = ParseJobId(accept.job->id);
+  if (!id || m_jobs.contains(*id)) {
+    applied.m_job = id.value_or(0);
+    return;
+  }
+  Job& job = m_jobs[*id];
+  job.m_id = *id;
+  job.m_queue = accept.queue;
+  job.m_spec = *accept.job;
+  job.m_accepted_ms = m_time_ms;
+  if (job.m_spec.times == 0) {
+    job.OpenOccurrence();
+  }
+  m_active_numbers[*id] = m_next_number;
+  m_active[m_next_number++] = *id;
+  applied.m_job = *id;
+  applied.m_changed = true;
+}
+
+void WorkState::CancelJob(const wire::WorkBodyUnion& body, Applied& applied) {
+  applied.m_job = body.AsCancelJob()->job;
+  const auto job = m_jobs.find(applied.m_job);
+  if (job != m_jobs.end() && job->second.m_state == JobState::kActive) {
+    EndJob(job->second, JobState::kCancelled, applied);
+    applied.m_changed = true;
+  }
+}
+
+void WorkState::AssignRuns(const wire::WorkBodyUnion& body, Applied& applied) {
+  const wire::AssignRunsT& assign = *body.AsAssignRuns();
+  const auto runner = m_runners.find(assign.runner);
+  applied.m_runner = assign.runner;
+  if (runner == m_runners.end() ||
+      runner->second.m_record.born_ms != assign.born_ms) {
+    return;
+  }
+  for (const wire::TaskRef& ref : assign.tasks) {
+    const RunKey run = FromWire(ref);
+    const auto found = m_jobs.find(run.m_task.m_job);
+    if (found == m_jobs.end() || found->second.m_state != JobState::kActive) {
+      continue;
+    }
+    Job& job = found->second;
+    Task* const task = job.Find(run.m_task);
+    if (task == nullptr || task->m_state != TaskState::kWaiting ||
+        run.m_run <= task->m_run) {
+      continue;
+    }
+    StepState& step = job.m_occurrences.at(run.m_task.m_occurrence)
+                          .m_steps[run.m_task.m_step];
+    task->m_state = TaskState::kAssigned;
+    task->m_run = run.m_run;
+    task->m_runner = assign.runner;
+    --step.m_waiting;
+    ++step.m_assigned;
+    job.m_started = true;
+    runner->second.m_assigned[run.m_task] = run.m_run;
+    runner->second.m_used.Add(RoomOf(*job.m_spec.steps[run.m_task.m_step]), 1);
+    applied.m_assigned.push_back(run);
+  }
+  applied.m_changed = !applied.m_assigned.empty();
+}
+
+void WorkState::EndRuns(const wire::WorkBodyUnion& body, Applied& applied) {
+  const wire::EndRunsT& ends = *body.AsEndRuns();
+  applied.m_runner = ends.runner;
+  const auto runner = m_runners.find(ends.runner);
+  if (runner == m_runners.end() ||
+      runner->second.m_record.born_ms != ends.born_ms) {
+    return;
+  }
+  applied.m_changed = true;
+  runner->second.m_seen = std::max(runner->second.m_seen, ends.seen);
+  for (const auto& end : ends.ends) {
+    if (end->task) {
+      EndRun(FromWire(*end->task), ends.runner, end->how, end->checkpoint,
+             applied);
+    }
+  }
+}
+
+void WorkState::EndRun(const RunKey& run, const std::string& runner,
+                       wire::EndKind how, const std::string& checkpoint,
+                       Applied& applied) {
+  const auto holder = m_runners.find(runner);
+  if (holder == m_runners.end()) {
+    return;
+  }
+  const auto assigned = holder->second.m_assigned.find(run.m_task);
+  if (assigned == holder->second.m_assigned.end() ||
+      assigned->second != run.m_run) {
+    return;
+  }
+  Free(run.m_task, runner);
+  applied.m_ended.push_back(run);
+  const auto found = m_jobs.find(run.m_task.m_job);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  Task* const task = job.Find(run.m_task);
+  if (task == nullptr || task->m_state != TaskState::kAssigned ||
+      task->m_run != run.m_run) {
+    return;
+  }
+  StepState& step = job.m_occurrences.at(run.m_task.m_occurrence)
+                        .m_steps[run.m_task.m_step];
+  task->m_state = TaskState::kWaiting;
+  --step.m_assigned;
+  ++step.m_waiting;
+  if (!checkpoint.empty()) {
+    task->m_checkpoint = checkpoint;
+  }
+  if (job.m_state == JobState::kActive) {
+    CountEnd(job, run.m_task, how, applied);
+  }
+}
+
+void WorkState::CountEnd(Job& job, const TaskKey& key, wire::EndKind how,
+                         Applied& applied) {
+  const wire::StepSpecT& spec = *job.m_spec.steps[key.m_step];
+  StepState& step = job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step];
+  Task& task = step.m_tasks[key.m_index];
+  if (spec.lasting) {
+    return;
+  }
+  if (how == wire::EndKind::Done) {
+    if (spec.gang) {
+      EndGang(job, key, applied);
+    } else {
+      task.m_state = TaskState::kDone;
+      --step.m_waiting;
+      ++step.m_done;
+    }
+    FinishOccurrence(job, key.m_occurrence, applied);
+    return;
+  }
+  if (how != wire::EndKind::Failed) {
+    return;
+  }
+  if (spec.gang) {
+    for (Task& member : step.m_tasks) {
+      ++member.m_failures;
+    }
+  } else {
+    ++task.m_failures;
+  }
+  const wire::QueueSpecT* const queue = m_queues.Find(job.m_queue);
+  const std::uint32_t attempts =
+      queue == nullptr ? 1 : std::max(queue->attempts, 1U);
+  if (task.m_failures >= attempts) {
+    EndJob(job, JobState::kFailed, applied);
+  }
+}
+
+// One member's end as done stands for the whole gang.
+void WorkState::EndGang(Job& job, const TaskKey& key, Applied& applied) {
+  StepState& step = job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step];
+  for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+    Task& member = step.m_tasks[index];
+    if (member.m_state == TaskState::kAssigned) {
+      const TaskKey other = {key.m_job, key.m_occurrence, key.m_step,
+                             static_cast<std::uint16_t>(index)};
+      Free(other, member.m_runner);
+      applied.m_ended.push_back({other, member.m_run});
+    }
+    member.m_state = TaskState::kDone;
+  }
+  step.m_waiting = 0;
+  step.m_assigned = 0;
+  step.m_done = static_cast<std::uint32_t>(step.m_tasks.size());
+}
+
+void WorkState::FinishOccurrence(Job& job, std::uint32_t number,
+                                 Applied& applied) {
+  const auto occurrence = job.m_occurrences.find(number);
+  if (!occurrence->second.IsDone()) {
+    return;
+  }
+  ++job.m_finished;
+  if (job.m_finished == job.OccurrenceCount()) {
+    EndJob(job, JobState::kCompleted, applied);
+  } else {
+    job.m_occurrences.erase(occurrence);
+  }
+}
+
+void WorkState::EndJob(Job& job, JobState state, Applied& applied) {
+  job.m_state = state;
+  job.m_ended_ms = m_time_ms;
+  const auto number = m_active_numbers.find(job.m_id);
+  if (number != m_active_numbers.end()) {
+    m_active.erase(number->second);
+    m_active_numbers.erase(number);
+  }
+  applied.m_jobs_ended.push_back(job.m_id);
+}
+
+void WorkState::Free(const TaskKey& key, const std::string& runner) {
+  const auto holder = m_runners.find(runner);
+  if (holder == m_runners.end() || holder->second.m_assigned.erase(key) == 0) {
+    return;
+  }
+  if (const wire::StepSpecT* const step = FindStep(key)) {
+    holder->second.m_used.Add(RoomOf(*step), -1);
+  }
+}
+
+void WorkState::LoseAll(Runner& runner, Applied& applied) {
+  const auto assigned = runner.m_assigned;
+  for (const auto& [task, run] : assigned) {
+    EndRun({task, run}, runner.m_record.id, wire::EndKind::Lost, "", applied);
+  }
+}
+
+void WorkState::RegisterRunner(const wire::WorkBodyUnion& body,
+                               Applied& applied) {
+  const auto& record = body.AsRegisterRunner()->runner;
+  if (!record) {
+    return;
+  }
+  applied.m_runner = record->id;
+  auto known = m_runners.find(record->id);
+  if (known != m_runners.end()) {
+    const wire::RunnerRecordT& held = known->second.m_record;
+    if (record->born_ms < held.born_ms ||
+        (record->born_ms == held.born_ms &&
+         record->sequence < held.sequence)) {
+      return;
+    }
+    if (record->born_ms > held.born_ms) {
+      LoseAll(known->second, applied);
+      known->second.m_seen = 0;
+    }
+  } else {
+    known = m_runners.emplace(record->id, Runner()).first;
+  }
+  known->second.m_record = *record;
+  applied.m_changed = true;
+}
+
+void WorkState::RemoveRunner(const wire::WorkBodyUnion& body,
+                             Applied& applied) {
+  const wire::RemoveRunnerT& remove = *body.AsRemoveRunner();
+  applied.m_runner = remove.runner;
+  const auto runner = m_runners.find(remove.runner);
+  if (runner == m_runners.end() ||
+      runner->second.m_record.born_ms != remove.born_ms) {
+    return;
+  }
+  LoseAll(runner->second, applied);
+  m_runners.erase(runner);
+  applied.m_changed = true;
+}
+
+void WorkState::OpenOccurrences(const wire::WorkBodyUnion& body,
+                                Applied& applied) {
+  const wire::OpenOccurrencesT& open = *body.AsOpenOccurrences();
+  applied.m_job = open.job;
+  const auto job = m_jobs.find(open.job);
+  if (job == m_jobs.end() || job->second.m_state != JobState::kActive) {
+    return;
+  }
+  const std::uint32_t last = std::min(open.up_to, job->second.m_spec.times);
+  while (job->second.m_opened < last) {
+    job->second.OpenOccurrence();
+    applied.m_changed = true;
+  }
+}
+
+void WorkState::StartUpkeep(const wire::WorkBodyUnion& body,
+                            Applied& applied) {
+  const wire::StartUpkeepT& start = *body.AsStartUpkeep();
+  if (m_waves.contains(start.wave)) {
+    return;
+  }
+  Upkeep& wave = m_waves[start.wave];
+  wave.m_wave = start.wave;
+  wave.m_complete_by_ms = start.complete_by_ms;
+  wave.m_cap = std::max(start.cap, 1U);
+  for (const std::string& machine : start.machines) {
+    wave.m_machines[machine] = UpkeepState::kDue;
+  }
+  if (m_waves.size() > kMaxKeptWaves) {
+    const auto done = std::find_if(
+        m_waves.begin(), m_waves.end(),
+        [](const auto& item) { return item.second.IsCompleted(); });
+    if (done != m_waves.end()) {
+      m_waves.erase(done);
+    }
+  }
+  applied.m_changed = true;
+}
+
+void WorkState::RecordUpkeep(const wire::WorkBodyUnion& body,
+                             Applied& applied) {
+  const wire::RecordUpkeepT& record = *body.AsRecordUpkeep();
+  const auto wave = m_waves.find(record.wave);
+  if (wave == m_waves.end()) {
+    return;
+  }
+  const auto machine = wave->second.m_machines.find(record.machine);
+  if (machine == wave->second.m_machines.end() ||
+      machine->second == UpkeepState::kDone) {
+    return;
+  }
+  machine->second = record.skipped ? UpkeepState::kSkipped
+                    : record.done  ? UpkeepState::kDone
+                                   : UpkeepState::kOrdered;
+  applied.m_changed = true;
+}
+
+void WorkState::ForgetJobs(const wire::WorkBodyUnion& body, Applied& applied) {
+  for (const JobId id : body.AsForgetJobs()->jobs) {
+    const auto job = m_jobs.find(id);
+    if (job != m_jobs.end() && job->second.m_state != JobState::kActive) {
+      m_jobs.erase(job);
+      applied.m_changed = true;
+    }
+  }
+}
+
+}  // namespace bronzebarrow::jobs
--- a/src/net/frame_dialer.cc
+++ b/src/net/frame_dialer.cc
@@ -5,7 +5,9 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "bronzebarrow/base/event_log.h"
@@ -16,12 +18,12 @@
 namespace asio = boost::asio;
 
 constexpr Duration kDialTimeout = Millis(1000);
-constexpr Duration kWatchInterval = Millis(50);
 
 }  // namespace
 
 FrameDialer::FrameDialer(asio::any_io_executor executor, Options options)
-    : m_executor(std::move(executor)), m_options(std::move(options)) {}
+    : m_executor(asio::make_strand(std::move(executor))),
+      m_options(std::move(options)) {}
 
 void FrameDialer::Start(OnFrame on_frame, OnConnect on_connect) {
   m_on_frame = std::move(on_frame);
@@ -103,24 +105,27 @@
 }
 
 asio::awaitable<void> FrameDialer::Watch(FrameConnectionPtr connection) {
-  const auto closed = std::make_shared<std::atomic<bool>>(false);
+  const auto closed = std::make_shared<asio::steady_timer>(
+      m_executor, asio::steady_timer::time_point::max());
+  const auto is_closed = std::make_shared<std::atomic<bool>>(false);
   connection->Start(
       [self = shared_from_this()](const FrameConnectionPtr&,
                                   std::unique_ptr<wire::FrameT> frame) {
         self->m_on_frame(std::move(frame));
       },
-      [closed](const FrameConnectionPtr&) { *closed = true; });
+      [closed, is_closed](const FrameConnectionPtr&) {
+        *is_closed = true;
+        asio::post(closed->get_executor(), [closed] { closed->cancel(); });
+      });
   {
     const std::lock_guard lock(m_mutex);
     m_connection = connection;
   }
   EventLine(Event::kPeerConnected).Field("peer", m_options.m_peer_name);
   m_on_connect();
-  asio::steady_timer timer(m_executor);
-  while (!*closed) {
+  while (!*is_closed) {
     boost::system::error_code ignored;
-    timer.expires_after(kWatchInterval);
-    co_await timer.async_wait(
+    co_await closed->async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
   }
   {
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -29,23 +29,23 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-asio::awaitable<bool> Connect(TargetConnectionPtr connection, Address address,
-                              Instant deadline) {
-  const Instant limit = std::min(deadline, Now() + kConnectTimeout);
-  connection->m_stream.expires_at(limit);
+asio::awaitable<boost::system::error_code> Connect(
+    TargetConnectionPtr connection, Address address, Instant deadline) {
+  const Duration limit = std::min(deadline - Now(), kConnectTimeout);
+  connection->m_stream.expires_after(limit);
   boost::system::error_code error;
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.m_host),
                                          address.m_port);
   co_await connection->m_stream.async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    co_return false;
+    co_return error;
   }
   connection->m_stream.socket().set_option(asio::ip::tcp::no_delay(true),
                                            error);
   connection->m_stream.expires_never();
   connection->m_opened = Now();
-  co_return true;
+  co_return boost::system::error_code();
 }
 
 asio::awaitable<ExchangeResult> RunExchange(TargetConnectionPtr connection,
@@ -53,7 +53,7 @@
                                             Instant deadline) {
   ExchangeResult result;
   beast::tcp_stream& stream = connection->m_stream;
-  stream.expires_at(deadline);
+  stream.expires_after(deadline - Now());
   boost::system::error_code error;
   co_await http::async_write(stream, request,
                              asio::redirect_error(asio::use_awaitable, error));
@@ -100,15 +100,19 @@
 }
 
 asio::awaitable<TargetConnectionPtr> TargetPool::Acquire(Address address,
-                                                         Instant deadline) {
+                                                         Instant deadline,
+                                                         bool* refused) {
   if (TargetConnectionPtr idle = TakeIdle(address)) {
     co_return idle;
   }
   auto connection = std::make_shared<TargetConnection>(m_executor);
-  const bool connected = co_await asio::co_spawn(
+  const boost::system::error_code error = co_await asio::co_spawn(
       connection->m_strand, Connect(connection, address, deadline),
       asio::use_awaitable);
-  co_return connected ? connection : nullptr;
+  if (refused != nullptr) {
+    *refused = error == asio::error::connection_refused;
+  }
+  co_return error ? nullptr : connection;
 }
 
 asio::awaitable<ExchangeResult> TargetPool::Exchange(
--- /dev/null
+++ b/src/node/member_node.cc
@@ -0,0 +1,455 @@
+// The member's shell: frames, the disk thread, and calls that leave.
+#include "bronzebarrow/node/member_node.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "bronzebarrow/base/event_log.h"
+
+namespace bronzebarrow::node {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTick = Millis(25);
+// Time for an answer of a runner beyond the time it was asked to wait: two
+// trips between zones, its own work, and a slow moment.
+constexpr Duration kRunnerTimeout = Millis(700);
+constexpr Duration kMachineTimeout = Millis(1500);
+constexpr Duration kAdviceTimeout = Millis(6000);
+// A process whose disk refuses writes ends after this pause, so that it is
+// not restarted in a tight loop.
+constexpr auto kDiskPause = std::chrono::seconds(1);
+constexpr Duration kRetirePoll = Millis(50);
+constexpr int kRetirePolls = 30;
+constexpr Duration kSlice = Millis(500);
+
+WorkCoreOptions MakeOptions(const MemberSettings& settings,
+                            const consensus::ReplicaId& id) {
+  std::random_device random;
+  WorkCoreOptions options;
+  options.m_replica.m_id = id;
+  options.m_replica.m_peers = settings.m_seeds;
+  std::erase(options.m_replica.m_peers, settings.m_name);
+  options.m_replica.m_election_timeout = settings.m_election_timeout;
+  options.m_replica.m_heartbeat_interval = settings.m_heartbeat;
+  options.m_replica.m_seed = random();
+  options.m_replica.m_remove_after = Millis(5000);
+  options.m_replica.m_min_voters = 2 * settings.m_losses + 1;
+  options.m_upkeep = settings.m_upkeep;
+  options.m_first_token = static_cast<std::uint64_t>(random()) << 32;
+  return options;
+}
+
+// A folder that cannot be read counts as a lost disk: the member comes back
+// as a new generation, which votes on nothing that it forgot.
+void ClearFolder(const std::string& folder) {
+  std::error_code error;
+  for (const auto& item : std::filesystem::directory_iterator(folder, error)) {
+    std::filesystem::remove_all(item.path(), error);
+  }
+}
+
+Result<void> FoundIfFirst(const MemberSettings& settings) {
+  std::error_code error;
+  const bool is_seed =
+      std::find(settings.m_seeds.begin(), settings.m_seeds.end(),
+                settings.m_name) != settings.m_seeds.end();
+  const bool has_files =
+      std::filesystem::exists(settings.m_data + "/identity", error);
+  if (!settings.m_is_first_start || !is_seed || has_files) {
+    return {};
+  }
+  std::vector<consensus::Member> founders;
+  for (const std::string& seed : settings.m_seeds) {
+    founders.push_back({{seed, 1}, true});
+  }
+  ClearFolder(settings.m_data);
+  return consensus::LogStore::Initialize(settings.m_data, settings.m_name,
+                                         consensus::Membership(founders));
+}
+
+}  // namespace
+
+Result<std::shared_ptr<MemberNode>> MemberNode::Open(
+    asio::any_io_executor executor, MemberSettings settings,
+    std::shared_ptr<const Dialect> dialect) {
+  BOOST_LEAF_CHECK(FoundIfFirst(settings));
+  const auto open = [&] {
+    return consensus::LogStore::Open(settings.m_data, settings.m_name);
+  };
+  auto opened = Capture<std::unique_ptr<consensus::LogStore>>(open);
+  std::unique_ptr<consensus::LogStore> store;
+  if (const auto* failure = std::get_if<Failure>(&opened)) {
+    EventLine(Event::kRecordRefused, Severity::kError)
+        .Field("code", failure->m_code)
+        .Field("context", failure->m_context)
+        .Field("action", "joining as a new generation");
+    ClearFolder(settings.m_data);
+    BOOST_LEAF_ASSIGN(store, open());
+  } else {
+    store = std::move(
+        std::get<std::unique_ptr<consensus::LogStore>>(opened));
+  }
+  const auto& recovered = store->recovered();
+  EventLine(Event::kLogRecovered)
+      .Field("member", settings.m_name)
+      .Field("generation", recovered.m_id.m_generation)
+      .Field("entries", recovered.m_state.m_entries.size())
+      .Field("base", recovered.m_state.m_base_index)
+      .Field("cut_bytes", recovered.m_cut_bytes)
+      .Field("is_new", recovered.m_is_new);
+  return std::shared_ptr<MemberNode>(
+      new MemberNode(std::move(executor), std::move(settings),
+                     std::move(dialect), std::move(store)));
+}
+
+MemberNode::MemberNode(asio::any_io_executor executor, MemberSettings settings,
+                       std::shared_ptr<const Dialect> dialect,
+                       std::unique_ptr<consensus::LogStore> store)
+    : m_executor(executor),
+      m_settings(std::move(settings)),
+      m_dialect(std::move(dialect)),
+      m_store(std::move(store)),
+      m_id(m_store->recovered().m_id),
+      m_core(std::make_unique<WorkCore>(
+          MakeOptions(m_settings, m_id),
+          std::move(m_store->recovered().m_state), CurrentMoment())),
+      m_link(executor, m_settings.m_name, m_settings.m_seeds),
+      m_pool(executor),
+      m_tick(executor) {}
+
+Result<void> MemberNode::Start() {
+  const auto self = shared_from_this();
+  const auto on_socket = [self](asio::ip::tcp::socket socket) {
+    auto connection = std::make_shared<net::FrameConnection>(std::move(socket));
+    connection->Start(
+        [self](const net::FrameConnectionPtr& from,
+               std::unique_ptr<wire::FrameT> frame) {
+          self->OnFrame(from, std::move(frame));
+        },
+        [self](const net::FrameConnectionPtr& from) {
+          self->m_watchers.erase(from);
+        });
+  };
+  BOOST_LEAF_ASSIGN(m_acceptor, net::Acceptor::Listen(
+                                    m_executor, m_settings.m_listen, on_socket));
+  m_link.Start();
+  Flush();
+  ScheduleTick();
+  return {};
+}
+
+void MemberNode::Retire(std::function<void()> done) {
+  m_core->OfferLeadership(CurrentMoment());
+  Flush();
+  asio::co_spawn(
+      m_executor,
+      [self = shared_from_this(),
+       done = std::move(done)]() -> asio::awaitable<void> {
+        asio::steady_timer timer(self->m_executor);
+        boost::system::error_code ignored;
+        for (int i = 0; i < kRetirePolls; ++i) {
+          timer.expires_after(kRetirePoll);
+          co_await timer.async_wait(
+              asio::redirect_error(asio::use_awaitable, ignored));
+          if (!self->m_core->CanServe(Now()) && self->m_remote_calls.empty() &&
+              self->m_local_calls.empty()) {
+            break;
+          }
+        }
+        self->m_stopping = true;
+        self->m_tick.cancel();
+        self->m_link.Stop();
+        done();
+      },
+      asio::detached);
+}
+
+void MemberNode::SetSeeds(std::vector<std::string> seeds) {
+  m_settings.m_seeds = std::move(seeds);
+  m_link.SetSeeds(m_settings.m_seeds);
+}
+
+void MemberNode::ScheduleTick() {
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([self = shared_from_this()](const auto& error) {
+    if (error || self->m_stopping) {
+      return;
+    }
+    std::vector<std::string> peers(self->m_link.members().begin(),
+                                   self->m_link.members().end());
+    peers.insert(peers.end(), self->m_settings.m_seeds.begin(),
+                 self->m_settings.m_seeds.end());
+    std::sort(peers.begin(), peers.end());
+    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+    std::erase(peers, self->m_settings.m_name);
+    self->m_core->SetPeers(std::move(peers));
+    self->m_core->Tick(CurrentMoment());
+    self->Flush();
+    FlushLog();
+    self->ScheduleTick();
+  });
+}
+
+void MemberNode::OnFrame(const net::FrameConnectionPtr& connection,
+                         std::unique_ptr<wire::FrameT> frame) {
+  if (m_stopping) {
+    return;
+  }
+  if (frame->body.type == wire::Body::ViewRequest) {
+    m_watchers.insert(connection);
+    SendView(connection);
+    return;
+  }
+  if (const auto* call = frame->body.AsCall()) {
+    const CallSource source = m_next_source++;
+    m_remote_calls[source] = connection;
+    m_core->OnCall(source, *call, CurrentMoment());
+  } else if (frame->receiver_generation == 0 ||
+             frame->receiver_generation == m_id.m_generation) {
+    m_core->OnPeerMessage({frame->sender, frame->generation}, frame->body,
+                          CurrentMoment());
+  }
+  Flush();
+}
+
+void MemberNode::SendView(const net::FrameConnectionPtr& connection) {
+  wire::FrameT frame;
+  frame.sender = m_settings.m_name;
+  frame.body.Set(m_core->View(Now()));
+  connection->Send(frame);
+}
+
+void MemberNode::TellViews() {
+  const bool leading = m_core->CanServe(Now());
+  const auto& leader = m_core->replica().leader();
+  const std::string name = leader ? leader->m_name : "";
+  if (leading == m_told_leading && name == m_told_leader) {
+    return;
+  }
+  m_told_leading = leading;
+  m_told_leader = name;
+  for (const net::FrameConnectionPtr& connection : m_watchers) {
+    SendView(connection);
+  }
+}
+
+void MemberNode::Flush() {
+  for (consensus::Outgoing& message : m_core->TakePeerMessages()) {
+    wire::FrameT frame;
+    frame.sender = m_id.m_name;
+    frame.generation = m_id.m_generation;
+    frame.receiver_generation = message.m_to.m_generation;
+    frame.body = std::move(message.m_body);
+    m_link.Send(message.m_to.m_name, frame);
+  }
+  StartBatch();
+  for (ReplyOut& reply : m_core->TakeReplies()) {
+    SendReply(reply);
+  }
+  for (runs::RunnerCall& call : m_core->TakeRunnerCalls()) {
+    asio::co_spawn(m_executor, RunCall(std::move(call)), asio::detached);
+  }
+  for (fleet::MachineOrder& order : m_core->TakeMachineOrders()) {
+    asio::co_spawn(m_executor, RunOrder(std::move(order)), asio::detached);
+  }
+  for (AdviceRequest& request : m_core->TakeAdviceRequests()) {
+    asio::co_spawn(m_executor, RunAdvice(std::move(request)), asio::detached);
+  }
+  TellViews();
+}
+
+void MemberNode::StartBatch() {
+  if (!m_core->HasBatch()) {
+    return;
+  }
+  auto batch =
+      std::make_shared<consensus::DurableBatchOut>(m_core->TakeBatch());
+  asio::post(m_disk, [self = shared_from_this(), batch] {
+    const auto written = Capture<bool>([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(self->m_store->Write(*batch));
+      return true;
+    });
+    if (const auto* failure = std::get_if<Failure>(&written)) {
+      EventLine(Event::kProcessStopped, Severity::kError)
+          .Field("code", failure->m_code)
+          .Field("context", failure->m_context);
+      std::this_thread::sleep_for(kDiskPause);
+      std::_Exit(EXIT_FAILURE);
+    }
+    asio::post(self->m_executor, [self] {
+      self->m_core->BatchSynced(CurrentMoment());
+      self->Flush();
+    });
+  });
+}
+
+void MemberNode::SendReply(ReplyOut& reply) {
+  const auto remote = m_remote_calls.find(reply.m_source);
+  if (remote != m_remote_calls.end()) {
+    wire::FrameT frame;
+    frame.sender = m_settings.m_name;
+    frame.body.Set(std::move(reply.m_reply));
+    remote->second->Send(frame);
+    m_remote_calls.erase(remote);
+    return;
+  }
+  const auto local = m_local_calls.find(reply.m_source);
+  if (local != m_local_calls.end()) {
+    local->second->m_reply = std::move(reply.m_reply);
+    local->second->m_wake.cancel();
+  }
+}
+
+asio::awaitable<wire::CallReplyT> MemberNode::CallHere(
+    const wire::CallBodyUnion& body, Instant deadline) {
+  const CallSource source = m_next_source++;
+  const auto local = std::make_shared<LocalCall>(m_executor);
+  m_local_calls[source] = local;
+  wire::CallT call;
+  call.id = source;
+  call.body = body;
+  m_core->OnCall(source, call, CurrentMoment());
+  Flush();
+  if (!local->m_reply) {
+    local->m_wake.expires_after(std::max(deadline - Now(), Duration::zero()));
+    boost::system::error_code ignored;
+    co_await local->m_wake.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  m_local_calls.erase(source);
+  wire::CallReplyT unknown;
+  unknown.outcome = wire::CallOutcome::Unknown;
+  co_return local->m_reply ? std::move(*local->m_reply) : std::move(unknown);
+}
+
+asio::awaitable<wire::CallReplyT> MemberNode::Call(wire::CallBodyUnion body,
+                                                   Instant deadline) {
+  wire::CallReplyT reply;
+  reply.outcome = wire::CallOutcome::NotRun;
+  bool uncertain = false;
+  while (Now() < deadline && !m_stopping) {
+    // In slices: this member may come to lead while it asks another.
+    const Instant slice = std::min(deadline, Now() + kSlice);
+    if (m_core->CanServe(Now())) {
+      reply = co_await CallHere(body, deadline);
+    } else {
+      wire::CallBodyUnion copy = body;
+      reply = co_await m_link.Call(std::move(copy), slice);
+    }
+    uncertain = uncertain || reply.outcome == wire::CallOutcome::Unknown;
+    if (reply.outcome != wire::CallOutcome::NotRun &&
+        reply.outcome != wire::CallOutcome::NotLeader &&
+        reply.outcome != wire::CallOutcome::Unknown) {
+      break;
+    }
+    if (reply.outcome == wire::CallOutcome::NotRun && !reply.text.empty()) {
+      break;  // The leader itself said so.
+    }
+  }
+  if (reply.outcome == wire::CallOutcome::NotLeader) {
+    reply.outcome = wire::CallOutcome::NotRun;
+  }
+  if (uncertain && (reply.outcome == wire::CallOutcome::NotRun ||
+                    reply.outcome == wire::CallOutcome::Refused)) {
+    reply.outcome = wire::CallOutcome::Unknown;
+  }
+  co_return reply;
+}
+
+asio::awaitable<std::optional<net::HttpResponse>> MemberNode::Exchange(
+    std::string address, net::HttpRequest request, Duration timeout,
+    bool* refused) {
+  const auto parsed =
+      Capture<Address>([&] { return Address::Parse(address); });
+  if (std::holds_alternative<Failure>(parsed)) {
+    co_return std::nullopt;
+  }
+  const Address& target = std::get<Address>(parsed);
+  const Instant deadline = Now() + timeout;
+  const net::TargetConnectionPtr connection =
+      co_await m_pool.Acquire(target, deadline, refused);
+  if (!connection) {
+    co_return std::nullopt;
+  }
+  request.set(boost::beast::http::field::host, address);
+  request.prepare_payload();
+  net::ExchangeResult result = co_await m_pool.Exchange(
+      connection, target, std::move(request), deadline);
+  if (result.m_verdict != net::ExchangeVerdict::kAnswered) {
+    co_return std::nullopt;
+  }
+  co_return std::move(result.m_response);
+}
+
+asio::awaitable<void> MemberNode::RunCall(runs::RunnerCall call) {
+  const auto self = shared_from_this();
+  const Instant begun = Now();
+  bool refused = false;
+  const std::optional<net::HttpResponse> response =
+      co_await Exchange(call.m_address, m_dialect->Encode(call),
+                        kRunnerTimeout + Millis(call.m_wait_ms), &refused);
+  runs::RunnerAnswer answer;
+  if (response) {
+    answer = m_dialect->Decode(call, *response);
+  } else if (refused) {
+    answer.m_kind = runs::AnswerKind::kGone;
+  }
+  const std::string label =
+      "call=\"" + std::string(NameOf(call.m_kind)) + "\"";
+  m_metrics.Observe("bronzebarrow_runner_call_seconds", label,
+                    std::chrono::duration<double>(Now() - begun).count());
+  if (answer.m_kind != runs::AnswerKind::kOk) {
+    m_metrics.Count("bronzebarrow_runner_calls_failed_total",
+                    label + ",answer=\"" +
+                        std::string(NameOf(answer.m_kind)) + "\"");
+  }
+  m_core->OnRunnerAnswer(call, answer, CurrentMoment());
+  Flush();
+}
+
+asio::awaitable<void> MemberNode::RunOrder(fleet::MachineOrder order) {
+  const auto self = shared_from_this();
+  bool refused = false;
+  const auto response =
+      co_await Exchange(m_settings.m_machine_api, m_dialect->Encode(order),
+                        kMachineTimeout, &refused);
+  m_core->OnMachineAnswer(order,
+                          response ? m_dialect->Decode(*response)
+                                   : fleet::MachineAnswer::kNoAnswer,
+                          CurrentMoment());
+  Flush();
+}
+
+asio::awaitable<void> MemberNode::RunAdvice(AdviceRequest request) {
+  const auto self = shared_from_this();
+  const std::string step =
+      request.m_job_name + '.' + std::to_string(request.m_step.m_occurrence) +
+      '.' + std::to_string(request.m_step.m_step);
+  bool refused = false;
+  const auto response = co_await Exchange(
+      m_settings.m_adviser, m_dialect->EncodeAdvice(step, request.m_runners),
+      kAdviceTimeout, &refused);
+  const std::optional<Advice> advice =
+      response ? m_dialect->DecodeAdvice(*response) : std::nullopt;
+  EventLine(Event::kAdviceTaken)
+      .Field("step", step)
+      .Field("asked", request.m_runners.size())
+      .Field("allowed", advice ? std::to_string(advice->m_tickets.size())
+                               : "no answer");
+  m_core->OnAdvice(request, advice ? &advice->m_tickets : nullptr,
+                   advice ? advice->m_valid_ms : 0, CurrentMoment());
+  Flush();
+}
+
+}  // namespace bronzebarrow::node
--- /dev/null
+++ b/src/node/work_calls.cc
@@ -0,0 +1,335 @@
+// WorkCore: calls of entries, operators and runners to the leader.
+#include <algorithm>
+#include <utility>
+
+#include "bronzebarrow/base/event_log.h"
+#include "bronzebarrow/node/work_core.h"
+
+namespace bronzebarrow::node {
+namespace {
+
+// A runner whose connection was refused is gone; its late heartbeats must not
+// bring it back at once, but a runner that goes on beating is alive.
+constexpr std::uint64_t kBeatsOfTheDead = 2;
+
+}  // namespace
+
+const std::map<wire::CallBody, WorkCore::CallHandler>&
+WorkCore::CallHandlers() {
+  using wire::CallBody;
+  static const std::map<CallBody, CallHandler> kHandlers = {
+      {CallBody::SubmitCall, &WorkCore::Submit},
+      {CallBody::ReadJobCall, &WorkCore::ReadJob},
+      {CallBody::CancelCall, &WorkCore::Cancel},
+      {CallBody::PutConfigCall, &WorkCore::PutConfig},
+      {CallBody::ReadConfigCall, &WorkCore::ReadConfig},
+      {CallBody::ReportRunnerCall, &WorkCore::ReportRunner},
+      {CallBody::StartUpkeepCall, &WorkCore::StartUpkeep},
+      {CallBody::ReadUpkeepCall, &WorkCore::ReadUpkeep},
+  };
+  return kHandlers;
+}
+
+void WorkCore::OnCall(CallSource source, const wire::CallT& call,
+                      Moment moment) {
+  m_moment = moment;
+  const auto handler = CallHandlers().find(call.body.type);
+  if (!CanServe(moment.m_now)) {
+    Reply(source, call.id, wire::CallOutcome::NotLeader,
+          m_replica.leader() ? m_replica.leader()->m_name : "");
+  } else if (handler == CallHandlers().end() || call.body.value == nullptr) {
+    Reply(source, call.id, wire::CallOutcome::Invalid, "unknown call");
+  } else {
+    (this->*handler->second)(source, call.id, call.body);
+  }
+  Settle();
+}
+
+void WorkCore::Reply(CallSource source, std::uint64_t call,
+                     wire::CallOutcome outcome, std::string text,
+                     std::uint32_t retry_after_ms) {
+  ReplyOut& out = m_replies.emplace_back();
+  out.m_source = source;
+  out.m_reply.id = call;
+  out.m_reply.outcome = outcome;
+  out.m_reply.text = std::move(text);
+  out.m_reply.retry_after_ms = retry_after_ms;
+}
+
+void WorkCore::Wait(std::uint64_t token, CallSource source, std::uint64_t call,
+                    wire::WorkBody kind) {
+  m_waiting[token].push_back({source, call, kind});
+}
+
+void WorkCore::ReplyCommitted(const Waiting& waiting,
+                              const jobs::Applied& applied) {
+  if (waiting.m_kind == wire::WorkBody::AcceptJob) {
+    EventLine(Event::kJobAccepted)
+        .Field("job", jobs::JobIdText(applied.m_job))
+        .Field("new", applied.m_changed)
+        .Field("config", m_state.queues().version());
+  } else if (waiting.m_kind == wire::WorkBody::CancelJob) {
+    EventLine(Event::kJobCancelled)
+        .Field("job", jobs::JobIdText(applied.m_job))
+        .Field("changed", applied.m_changed);
+  } else if (waiting.m_kind == wire::WorkBody::PutConfig) {
+    EventLine(Event::kConfigInForce)
+        .Field("version", m_state.queues().version())
+        .Field("changed", applied.m_changed);
+  }
+  Reply(waiting.m_source, waiting.m_call, wire::CallOutcome::Accepted);
+}
+
+void WorkCore::Submit(CallSource source, std::uint64_t call,
+                      const wire::CallBodyUnion& body) {
+  const wire::SubmitCallT& submit = *body.AsSubmitCall();
+  if (m_state.queues().version() == 0) {
+    Reply(source, call, wire::CallOutcome::NotRun, "no configuration yet");
+    return;
+  }
+  const wire::QueueSpecT* const queue =
+      m_state.queues().Route(submit.host, submit.path);
+  if (queue == nullptr) {
+    Reply(source, call, wire::CallOutcome::NoQueue);
+    return;
+  }
+  const auto id = submit.job && submit.path.substr(queue->path_prefix.size()) ==
+                                    submit.job->id
+                      ? jobs::ParseJobId(submit.job->id)
+                      : std::nullopt;
+  const std::string problem =
+      id ? jobs::ProblemOf(*submit.job) : "a job's id has 16 hex digits";
+  if (!problem.empty()) {
+    Reply(source, call, wire::CallOutcome::Invalid, problem);
+    return;
+  }
+  if (m_state.FindJob(*id) != nullptr) {
+    Reply(source, call, wire::CallOutcome::Accepted);
+    return;
+  }
+  const auto submitting = m_submitting.find(*id);
+  if (submitting != m_submitting.end()) {
+    Wait(submitting->second, source, call, wire::WorkBody::AcceptJob);
+    return;
+  }
+  wire::AcceptJobT accept;
+  accept.queue = queue->name;
+  accept.job = std::make_unique<wire::JobSpecT>(*submit.job);
+  wire::WorkBodyUnion command;
+  command.Set(std::move(accept));
+  const std::uint64_t token = AddCommand(std::move(command));
+  m_submitting[*id] = token;
+  Wait(token, source, call, wire::WorkBody::AcceptJob);
+}
+
+void WorkCore::ReadJob(CallSource source, std::uint64_t call,
+                       const wire::CallBodyUnion& body) {
+  const wire::ReadJobCallT& read = *body.AsReadJobCall();
+  if (m_state.queues().version() == 0) {
+    Reply(source, call, wire::CallOutcome::NotRun, "no configuration yet");
+    return;
+  }
+  const wire::QueueSpecT* const queue =
+      m_state.queues().Route(read.host, read.path);
+  if (queue == nullptr) {
+    Reply(source, call, wire::CallOutcome::NoQueue);
+    return;
+  }
+  const std::string rest = read.path.substr(queue->path_prefix.size());
+  if (rest.empty()) {
+    Reply(source, call, wire::CallOutcome::Count);
+    m_replies.back().m_reply.count = m_state.WaitingCount(queue->name);
+    return;
+  }
+  const auto id = jobs::ParseJobId(rest);
+  const jobs::Job* const job = id ? m_state.FindJob(*id) : nullptr;
+  if (job == nullptr && id && m_submitting.contains(*id)) {
+    Reply(source, call, wire::CallOutcome::NotRun, "being accepted");
+  } else if (job == nullptr || job->m_queue != queue->name) {
+    Reply(source, call, wire::CallOutcome::Missing);
+  } else {
+    Reply(source, call, wire::CallOutcome::Found);
+    m_replies.back().m_reply.phase = job->Phase();
+  }
+}
+
+void WorkCore::Cancel(CallSource source, std::uint64_t call,
+                      const wire::CallBodyUnion& body) {
+  const wire::CancelCallT& cancel = *body.AsCancelCall();
+  const wire::QueueSpecT* const queue =
+      m_state.queues().Route(cancel.host, cancel.path);
+  if (queue == nullptr) {
+    Reply(source, call,
+          m_state.queues().version() == 0 ? wire::CallOutcome::NotRun
+                                          : wire::CallOutcome::NoQueue);
+    return;
+  }
+  const auto id =
+      jobs::ParseJobId(cancel.path.substr(queue->path_prefix.size()));
+  const jobs::Job* const job = id ? m_state.FindJob(*id) : nullptr;
+  if (!id || (job == nullptr && !m_submitting.contains(*id))) {
+    Reply(source, call, wire::CallOutcome::Missing);
+    return;
+  }
+  if (job != nullptr && job->m_state != jobs::JobState::kActive) {
+    Reply(source, call, wire::CallOutcome::Accepted);
+    return;
+  }
+  wire::CancelJobT command;
+  command.job = *id;
+  wire::WorkBodyUnion command_body;
+  command_body.Set(std::move(command));
+  Wait(AddCommand(std::move(command_body)), source, call,
+       wire::WorkBody::CancelJob);
+}
+
+void WorkCore::PutConfig(CallSource source, std::uint64_t call,
+                         const wire::CallBodyUnion& body) {
+  const auto& config = body.AsPutConfigCall()->config;
+  if (!config) {
+    Reply(source, call, wire::CallOutcome::Invalid, "no configuration");
+    return;
+  }
+  const std::string problem = jobs::ProblemOf(*config);
+  if (!problem.empty()) {
+    EventLine(Event::kChangeRefused, Severity::kWarning)
+        .Field("version", config->version)
+        .Field("problem", problem);
+    Reply(source, call, wire::CallOutcome::Invalid, problem);
+    return;
+  }
+  if (config->version <= m_state.queues().version()) {
+    Reply(source, call, wire::CallOutcome::Accepted);
+    return;
+  }
+  wire::PutConfigT put;
+  put.config = std::make_unique<wire::FleetConfigT>(*config);
+  wire::WorkBodyUnion command;
+  command.Set(std::move(put));
+  Wait(AddCommand(std::move(command)), source, call,
+       wire::WorkBody::PutConfig);
+}
+
+void WorkCore::ReadConfig(CallSource source, std::uint64_t call,
+                          const wire::CallBodyUnion&) {
+  if (m_state.queues().version() == 0) {
+    Reply(source, call, wire::CallOutcome::NotRun, "no configuration yet");
+    return;
+  }
+  Reply(source, call, wire::CallOutcome::Found,
+        m_state.queues().config().document);
+}
+
+void WorkCore::ReportRunner(CallSource source, std::uint64_t call,
+                            const wire::CallBodyUnion& body) {
+  const wire::ReportRunnerCallT& report = *body.AsReportRunnerCall();
+  if (!report.runner || report.runner->id.empty()) {
+    Reply(source, call, wire::CallOutcome::Invalid, "no runner");
+    return;
+  }
+  const std::string& id = report.runner->id;
+  const jobs::Runner* const known = m_state.FindRunner(id);
+  if (report.leaves) {
+    if (known == nullptr) {
+      Reply(source, call, wire::CallOutcome::Accepted);
+      return;
+    }
+    wire::RemoveRunnerT remove;
+    remove.runner = id;
+    remove.born_ms = known->m_record.born_ms;
+    wire::WorkBodyUnion command;
+    command.Set(std::move(remove));
+    EventLine(Event::kRunnerRemoved).Field("runner", id).Field("cause", "left");
+    Wait(AddCommand(std::move(command)), source, call,
+         wire::WorkBody::RemoveRunner);
+    return;
+  }
+  const std::uint64_t born = report.runner->born_ms;
+  const std::uint64_t sequence = report.runner->sequence;
+  const auto removed = m_removed.find(id);
+  if (removed != m_removed.end()) {
+    if (born < removed->second.m_born_ms ||
+        (born == removed->second.m_born_ms &&
+         sequence <= removed->second.m_sequence + kBeatsOfTheDead)) {
+      Reply(source, call, wire::CallOutcome::Accepted);
+      return;
+    }
+    m_removed.erase(removed);
+  }
+  Heartbeat& heard = m_heartbeats[id];
+  if (born < heard.m_born_ms ||
+      (born == heard.m_born_ms && sequence < heard.m_sequence)) {
+    Reply(source, call, wire::CallOutcome::Accepted);  // Overtaken.
+    return;
+  }
+  heard = {born, sequence};
+  wire::RunnerRecordT held;
+  if (known != nullptr) {
+    held = known->m_record;
+    held.sequence = sequence;
+  }
+  const bool same =
+      known != nullptr && held.born_ms == born &&
+      held.address == report.runner->address &&
+      held.pool == report.runner->pool &&
+      held.draining == report.runner->draining &&
+      held.labels == report.runner->labels &&
+      held.cpu_milli == report.runner->cpu_milli &&
+      held.memory_mb == report.runner->memory_mb &&
+      held.gpu == report.runner->gpu;
+  const bool older = known != nullptr && born < known->m_record.born_ms;
+  if (same || older) {
+    Reply(source, call, wire::CallOutcome::Accepted);
+    return;
+  }
+  EventLine(Event::kRunnerRegistered)
+      .Field("runner", id)
+      .Field("born", born)
+      .Field("machine", report.runner->machine)
+      .Field("address", report.runner->address)
+      .Field("pool", report.runner->pool)
+      .Field("draining", report.runner->draining);
+  wire::RegisterRunnerT command;
+  command.runner = std::make_unique<wire::RunnerRecordT>(*report.runner);
+  wire::WorkBodyUnion command_body;
+  command_body.Set(std::move(command));
+  Wait(AddCommand(std::move(command_body)), source, call,
+       wire::WorkBody::RegisterRunner);
+}
+
+void WorkCore::StartUpkeep(CallSource source, std::uint64_t call,
+                           const wire::CallBodyUnion& body) {
+  const auto& upkeep = body.AsStartUpkeepCall()->upkeep;
+  if (!upkeep) {
+    Reply(source, call, wire::CallOutcome::Invalid, "no wave");
+    return;
+  }
+  if (m_state.waves().contains(upkeep->wave)) {
+    Reply(source, call, wire::CallOutcome::Accepted);
+    return;
+  }
+  EventLine(Event::kUpkeepStarted)
+      .Field("wave", upkeep->wave)
+      .Field("machines", upkeep->machines.size())
+      .Field("cap", upkeep->cap)
+      .Field("complete_by_ms", upkeep->complete_by_ms);
+  wire::WorkBodyUnion command;
+  command.Set(wire::StartUpkeepT(*upkeep));
+  Wait(AddCommand(std::move(command)), source, call,
+       wire::WorkBody::StartUpkeep);
+}
+
+void WorkCore::ReadUpkeep(CallSource source, std::uint64_t call,
+                          const wire::CallBodyUnion& body) {
+  const auto wave = m_state.waves().find(body.AsReadUpkeepCall()->wave);
+  if (wave == m_state.waves().end()) {
+    Reply(source, call, wire::CallOutcome::Missing);
+    return;
+  }
+  Reply(source, call, wire::CallOutcome::Found);
+  m_replies.back().m_reply.phase = wave->second.IsCompleted()
+                                       ? wire::JobPhase::Completed
+                                       : wire::JobPhase::Running;
+}
+
+}  // namespace bronzebarrow::node
--- a/src/programs/control/control_node.h
+++ b/src/programs/control/control_node.h
@@ -24,9 +24,6 @@
 
 namespace bronzebarrow::programs {
 
-/** @return both clocks now. */
-inline control::Moment CurrentMoment() { return {Now(), WallMillis()}; }
-
 /**
  * All members are touched on m_strand only. Writes to disk run on a thread of
  * their own, one batch at a time, and their completion returns to the strand.
--- a/src/programs/entry/control_link.cc
+++ b/src/programs/entry/control_link.cc
@@ -255,7 +255,7 @@
     body.Set(std::move(request));
     const bool sent = SendToLeader(std::move(body));
     const Duration wait = sent ? kCallRetry : kCallPauseWithoutLeader;
-    call->m_wake.expires_at(std::min(deadline, Now() + wait));
+    call->m_wake.expires_after(std::min(deadline - Now(), wait));
     boost::system::error_code ignored;
     co_await call->m_wake.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/programs/load/caller.cc
+++ b/src/programs/load/caller.cc
@@ -35,7 +35,7 @@
 
 asio::awaitable<void> SleepUntil(Instant moment) {
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_at(moment);
+  timer.expires_after(moment - Now());
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- /dev/null
+++ b/src/runs/dispatcher.cc
@@ -0,0 +1,587 @@
+// Dispatcher: leadership, time, and the orders that leave.
+#include "bronzebarrow/runs/dispatcher.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "bronzebarrow/base/event_log.h"
+
+namespace bronzebarrow::runs {
+namespace {
+
+// A runner's clock may be 2% slow (the platform's bound); a lease counted on
+// it then lasts this much longer on ours, and a margin for the reading.
+constexpr double kSlowestClock = 0.98;
+constexpr Duration kLapseMargin = Millis(150);
+// A start is sent this often before the run is stopped and placed anew.
+constexpr std::uint32_t kMaxStarts = 2;
+// A runner that left this many calls unanswered in a row gets no new work.
+constexpr std::uint32_t kMaxSilences = 1;
+
+std::uint64_t ToMillis(Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(duration).count());
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(const jobs::WorkState& state, DispatcherOptions options)
+    : m_state(state), m_options(options) {}
+
+void Dispatcher::Lead(std::uint64_t epoch, Instant now) {
+  m_epoch = epoch;
+  m_led_since = now;
+  m_links.clear();
+  m_tickets.clear();
+  m_calls.clear();
+  m_commands.clear();
+  for (const auto& [id, runner] : m_state.runners()) {
+    RefreshLink(id, now);
+  }
+  for (const auto& [id, job] : m_state.jobs()) {
+    if (job.m_state != jobs::JobState::kActive) {
+      StopEndedJob(id, now);
+    }
+  }
+}
+
+void Dispatcher::StopLeading() {
+  m_epoch = 0;
+  m_links.clear();
+  m_calls.clear();
+  m_commands.clear();
+}
+
+std::vector<RunnerCall> Dispatcher::TakeCalls() {
+  return std::exchange(m_calls, {});
+}
+
+std::vector<wire::WorkBodyUnion> Dispatcher::TakeCommands() {
+  return std::exchange(m_commands, {});
+}
+
+const RunnerLink* Dispatcher::FindLink(const std::string& runner) const {
+  const auto link = m_links.find(runner);
+  return link == m_links.end() ? nullptr : &link->second;
+}
+
+bool Dispatcher::IsUsable(const std::string& runner, Instant now) const {
+  const RunnerLink* const link = FindLink(runner);
+  return link != nullptr && link->m_fenced && !link->m_lapsed &&
+         link->m_silences < kMaxSilences && now >= link->m_avoid_until;
+}
+
+void Dispatcher::SetTicket(const jobs::TaskKey& task, std::string ticket) {
+  m_tickets[task] = std::move(ticket);
+}
+
+void Dispatcher::RefreshLink(const std::string& id, Instant now) {
+  const jobs::Runner* const runner = m_state.FindRunner(id);
+  if (runner == nullptr) {
+    m_links.erase(id);
+    return;
+  }
+  const auto known = m_links.find(id);
+  if (known != m_links.end() &&
+      known->second.m_born_ms == runner->m_record.born_ms) {
+    known->second.m_address = runner->m_record.address;
+    return;
+  }
+  RunnerLink& link = m_links[id];
+  link = RunnerLink();
+  link.m_born_ms = runner->m_record.born_ms;
+  link.m_address = runner->m_record.address;
+  link.m_next_hold = now;
+  link.m_last_answer = now;
+  if (!runner->m_assigned.empty()) {
+    const auto longest = std::chrono::duration_cast<Duration>(
+        m_options.m_lease / kSlowestClock);
+    link.m_inherited_until =
+        now + m_options.m_owner_overlap + longest + kLapseMargin;
+  }
+  for (const auto& [task, run] : runner->m_assigned) {
+    RunOrder& order = link.m_orders[task];
+    order.m_run = run;
+    order.m_state = OrderState::kInherited;
+    order.m_settled = now;
+    order.m_listed = now;
+  }
+}
+
+Instant Dispatcher::LapseOf(const RunnerLink& link) const {
+  Instant lapse = link.m_inherited_until;
+  if (link.m_expires_ms > link.m_clock_ms) {
+    const Millis left(link.m_expires_ms - link.m_clock_ms);
+    const auto longest = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(left) / kSlowestClock);
+    lapse = std::max(lapse, link.m_clock_at + longest + kLapseMargin);
+  }
+  return lapse;
+}
+
+RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string& runner,
+                                RunnerLink& link, Instant now) const {
+  RunnerCall call;
+  call.m_kind = kind;
+  call.m_runner = runner;
+  call.m_born_ms = link.m_born_ms;
+  call.m_address = link.m_address;
+  call.m_epoch = m_epoch;
+  call.m_sent = now;
+  if (link.m_clock_ms != 0 &&
+      (kind == CallKind::kHold || kind == CallKind::kStart)) {
+    call.m_expires_ms =
+        link.m_clock_ms + ToMillis(now - link.m_clock_at + m_options.m_lease);
+    link.m_expires_ms = std::max(link.m_expires_ms, call.m_expires_ms);
+  }
+  return call;
+}
+
+void Dispatcher::SendStart(const std::string& runner, RunnerLink& link,
+                           const jobs::TaskKey& task, RunOrder& order,
+                           Instant now) {
+  const jobs::Job* const job = m_state.FindJob(task.m_job);
+  const jobs::Task* const state = job == nullptr ? nullptr : job->Find(task);
+  if (state == nullptr) {
+    return;
+  }
+  RunnerCall call = MakeCall(CallKind::kStart, runner, link, now);
+  call.m_run = {task, order.m_run};
+  call.m_job_name = job->m_spec.id;
+  call.m_spec = job->m_spec.spec;
+  call.m_checkpoint = state->m_checkpoint;
+  call.m_ticket = order.m_ticket;
+  ++order.m_attempts;
+  order.m_state = OrderState::kStarting;
+  order.m_call_out = true;
+  m_calls.push_back(std::move(call));
+}
+
+void Dispatcher::SendStop(const std::string& runner, RunnerLink& link,
+                          const jobs::RunKey& run, Instant now) {
+  RunnerCall call = MakeCall(CallKind::kStop, runner, link, now);
+  call.m_run = run;
+  const jobs::Job* const job = m_state.FindJob(run.m_task.m_job);
+  call.m_job_name = job == nullptr ? jobs::JobIdText(run.m_task.m_job)
+                                   : job->m_spec.id;
+  m_calls.push_back(std::move(call));
+}
+
+void Dispatcher::SendHold(const std::string& runner, RunnerLink& link,
+                          Instant now) {
+  const jobs::Runner* const known = m_state.FindRunner(runner);
+  if (known == nullptr) {
+    return;
+  }
+  RunnerCall call = MakeCall(CallKind::kHold, runner, link, now);
+  call.m_seen = known->m_seen;
+  const bool may_wait = link.m_fenced && link.m_silences == 0 &&
+                        !link.m_lapsed && !link.m_orders.empty();
+  call.m_wait_ms = may_wait ? static_cast<std::uint32_t>(
+                                  ToMillis(m_options.m_hold_wait))
+                            : 0;
+  link.m_hold_out = true;
+  m_calls.push_back(std::move(call));
+}
+
+void Dispatcher::Pace(const std::string& runner, const jobs::TaskKey& task,
+                      std::uint32_t percent, Instant now) {
+  const auto link = m_links.find(runner);
+  if (!leading() || link == m_links.end()) {
+    return;
+  }
+  const auto order = link->second.m_orders.find(task);
+  if (order == link->second.m_orders.end() ||
+      order->second.m_state != OrderState::kStarted) {
+    return;
+  }
+  RunnerCall call = MakeCall(CallKind::kPace, runner, link->second, now);
+  call.m_run = {task, order->second.m_run};
+  const jobs::Job* const job = m_state.FindJob(task.m_job);
+  call.m_job_name = job == nullptr ? "" : job->m_spec.id;
+  call.m_percent = percent;
+  order->second.m_pace = percent;
+  m_calls.push_back(std::move(call));
+}
+
+void Dispatcher::StopRun(const std::string& runner, const jobs::TaskKey& task,
+                         Instant now) {
+  const auto link = m_links.find(runner);
+  if (link == m_links.end()) {
+    return;
+  }
+  const auto order = link->second.m_orders.find(task);
+  if (order == link->second.m_orders.end() || order->second.m_stop_wanted ||
+      order->second.m_state == OrderState::kLosing) {
+    return;
+  }
+  order->second.m_stop_wanted = true;
+  order->second.m_next_try = now + m_options.m_retry * 2;
+  order->second.m_call_out = true;
+  SendStop(runner, link->second, {task, order->second.m_run}, now);
+}
+
+void Dispatcher::StopEndedJob(jobs::JobId id, Instant now) {
+  const jobs::Job* const job = m_state.FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  for (const auto& [number, occurrence] : job->m_occurrences) {
+    for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+      if (occurrence.m_steps[step].m_assigned == 0) {
+        continue;
+      }
+      const auto& tasks = occurrence.m_steps[step].m_tasks;
+      for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].m_state == jobs::TaskState::kAssigned) {
+          StopRun(tasks[index].m_runner,
+                  {id, number, static_cast<std::uint16_t>(step),
+                   static_cast<std::uint16_t>(index)},
+                  now);
+        }
+      }
+    }
+  }
+}
+
+void Dispatcher::OnApplied(const jobs::Applied& applied, Instant now) {
+  if (!leading()) {
+    return;
+  }
+  if (applied.m_kind == wire::WorkBody::RegisterRunner ||
+      applied.m_kind == wire::WorkBody::RemoveRunner) {
+    RefreshLink(applied.m_runner, now);
+  }
+  const auto found = m_links.find(applied.m_runner);
+  if (found != m_links.end()) {
+    RunnerLink& link = found->second;
+    if (applied.m_kind == wire::WorkBody::EndRuns) {
+      link.m_ends_out = false;
+      link.m_next_hold = std::min(link.m_next_hold, now);
+    }
+    for (const jobs::RunKey& run : applied.m_assigned) {
+      RunOrder& order = link.m_orders[run.m_task];
+      order = RunOrder();
+      order.m_run = run.m_run;
+      order.m_listed = now;
+      const auto ticket = m_tickets.find(run.m_task);
+      if (ticket != m_tickets.end()) {
+        order.m_ticket = std::move(ticket->second);
+        m_tickets.erase(ticket);
+      }
+      SendStart(applied.m_runner, link, run.m_task, order, now);
+    }
+  }
+  for (const jobs::RunKey& run : applied.m_ended) {
+    for (auto& [id, link] : m_links) {
+      const auto order = link.m_orders.find(run.m_task);
+      if (order != link.m_orders.end() && order->second.m_run == run.m_run) {
+        link.m_orders.erase(order);
+        break;
+      }
+    }
+  }
+  for (const jobs::JobId job : applied.m_jobs_ended) {
+    StopEndedJob(job, now);
+  }
+}
+
+void Dispatcher::Tick(Instant now) {
+  if (!leading()) {
+    return;
+  }
+  for (auto& [runner, link] : m_links) {
+    TickLink(runner, link, now);
+  }
+}
+
+void Dispatcher::TickLink(const std::string& runner, RunnerLink& link,
+                          Instant now) {
+  if (!link.m_hold_out && !link.m_ends_out && now >= link.m_next_hold) {
+    SendHold(runner, link, now);
+  }
+  const bool silent = now - link.m_last_answer > m_options.m_hold_wait +
+                                                     m_options.m_retry;
+  if (silent && !link.m_lapsed && now >= LapseOf(link)) {
+    link.m_lapsed = true;
+    std::vector<jobs::RunKey> runs;
+    for (const auto& [task, order] : link.m_orders) {
+      runs.push_back({task, order.m_run});
+    }
+    EventLine(Event::kRunnerLapsed, Severity::kWarning)
+        .Field("runner", runner)
+        .Field("runs", runs.size())
+        .Field("silent_ms", ToMillis(now - link.m_last_answer));
+    LoseRuns(runner, link, runs, "lapsed");
+  }
+  for (auto& [task, order] : link.m_orders) {
+    if (order.m_call_out || now < order.m_next_try ||
+        order.m_state == OrderState::kLosing) {
+      continue;
+    }
+    if (order.m_stop_wanted) {
+      if (!order.m_stop_confirmed) {
+        order.m_call_out = true;
+        order.m_next_try = now + m_options.m_retry * 2;
+        SendStop(runner, link, {task, order.m_run}, now);
+      }
+    } else if (order.m_state == OrderState::kStarting) {
+      SendStart(runner, link, task, order, now);
+    }
+  }
+}
+
+void Dispatcher::Remove(const std::string& runner, const RunnerLink& link,
+                        AnswerKind cause) {
+  EventLine(Event::kRunnerRemoved, Severity::kWarning)
+      .Field("runner", runner)
+      .Field("cause", NameOf(cause))
+      .Field("runs", link.m_orders.size());
+  wire::RemoveRunnerT remove;
+  remove.runner = runner;
+  remove.born_ms = link.m_born_ms;
+  m_commands.emplace_back().Set(std::move(remove));
+}
+
+void Dispatcher::LoseRuns(const std::string& runner, RunnerLink& link,
+                          const std::vector<jobs::RunKey>& runs,
+                          const char* cause) {
+  wire::EndRunsT ends;
+  ends.runner = runner;
+  ends.born_ms = link.m_born_ms;
+  for (const jobs::RunKey& run : runs) {
+    RunOrder& order = link.m_orders[run.m_task];
+    if (order.m_state == OrderState::kLosing) {
+      continue;
+    }
+    order.m_state = OrderState::kLosing;
+    auto end = std::make_unique<wire::RunEndT>();
+    end->task = std::make_unique<wire::TaskRef>(ToWire(run));
+    end->how = wire::EndKind::Lost;
+    end->checkpoint = order.m_checkpoint;
+    ends.ends.push_back(std::move(end));
+    EventLine(Event::kRunEnded)
+        .Field("task", jobs::TaskText(run.m_task))
+        .Field("run", run.m_run)
+        .Field("runner", runner)
+        .Field("how", "lost")
+        .Field("cause", cause);
+  }
+  if (!ends.ends.empty()) {
+    m_commands.emplace_back().Set(std::move(ends));
+  }
+}
+
+void Dispatcher::OnAnswer(const RunnerCall& call, const RunnerAnswer& answer,
+                          Instant now) {
+  const auto found = m_links.find(call.m_runner);
+  if (!leading() || call.m_epoch != m_epoch || found == m_links.end() ||
+      found->second.m_born_ms != call.m_born_ms) {
+    return;
+  }
+  RunnerLink& link = found->second;
+  const bool other =
+      answer.m_kind == AnswerKind::kOtherIncarnation ||
+      (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms);
+  if (other || answer.m_kind == AnswerKind::kGone) {
+    link.m_next_hold = now + m_options.m_idle_hold;
+    link.m_hold_out = false;
+    Remove(call.m_runner, link,
+           other ? AnswerKind::kOtherIncarnation : answer.m_kind);
+    return;
+  }
+  if (answer.m_kind == AnswerKind::kNoAnswer) {
+    ++link.m_silences;
+    if (link.m_silences == 1) {
+      EventLine(Event::kRunnerSilent, Severity::kWarning)
+          .Field("runner", call.m_runner)
+          .Field("call", NameOf(call.m_kind))
+          .Field("age_ms", ToMillis(now - link.m_last_answer));
+    }
+  } else {
+    link.m_silences = 0;
+    link.m_last_answer = now;
+    if (answer.m_clock_ms != 0) {
+      link.m_clock_ms = answer.m_clock_ms;
+      link.m_clock_at = now;
+    }
+  }
+  switch (call.m_kind) {
+    case CallKind::kStart:
+      OnStart(call, answer, link, now);
+      break;
+    case CallKind::kStop:
+      OnStop(call, answer, link, now);
+      break;
+    case CallKind::kHold:
+      OnHold(call, answer, link, now);
+      break;
+    case CallKind::kPace:
+      break;
+  }
+}
+
+void Dispatcher::OnStart(const RunnerCall& call, const RunnerAnswer& answer,
+                         RunnerLink& link, Instant now) {
+  const auto found = link.m_orders.find(call.m_run.m_task);
+  if (found == link.m_orders.end() ||
+      found->second.m_run != call.m_run.m_run) {
+    return;
+  }
+  RunOrder& order = found->second;
+  order.m_call_out = false;
+  order.m_settled = now;
+  if (answer.m_kind == AnswerKind::kOk) {
+    order.m_state = OrderState::kStarted;
+    if (link.m_next_hold > now) {
+      link.m_next_hold = now;  // An idle runner now has something to tell.
+    }
+    return;
+  }
+  EventLine(Event::kRunRejected, Severity::kWarning)
+      .Field("task", jobs::TaskText(call.m_run.m_task))
+      .Field("run", call.m_run.m_run)
+      .Field("runner", call.m_runner)
+      .Field("answer", NameOf(answer.m_kind))
+      .Field("attempt", order.m_attempts);
+  switch (answer.m_kind) {
+    case AnswerKind::kNoAnswer:
+      order.m_next_try = now + m_options.m_retry;
+      if (order.m_attempts >= kMaxStarts) {
+        order.m_stop_wanted = true;  // The next list or the lapse settles it.
+      }
+      return;
+    case AnswerKind::kOldRun:
+    case AnswerKind::kFenced:
+      order.m_state = OrderState::kRejected;
+      link.m_next_hold = std::min(link.m_next_hold, now);
+      return;
+    case AnswerKind::kNoRoom:
+    case AnswerKind::kUnhealthy:
+    case AnswerKind::kInvalid:
+      link.m_avoid_until = now + Millis(500);
+      break;
+    default:
+      break;
+  }
+  if (order.m_attempts == 1 && !order.m_stop_wanted) {
+    LoseRuns(call.m_runner, link, {call.m_run}, "rejected");
+  } else if (!order.m_stop_wanted) {
+    // An earlier order without an answer may still be carried out.
+    order.m_stop_wanted = true;
+    order.m_call_out = true;
+    SendStop(call.m_runner, link, call.m_run, now);
+  }
+}
+
+void Dispatcher::OnStop(const RunnerCall& call, const RunnerAnswer& answer,
+                        RunnerLink& link, Instant now) {
+  const auto found = link.m_orders.find(call.m_run.m_task);
+  if (found == link.m_orders.end() ||
+      found->second.m_run != call.m_run.m_run) {
+    return;
+  }
+  RunOrder& order = found->second;
+  order.m_call_out = false;
+  if (answer.m_kind == AnswerKind::kOk || answer.m_kind == AnswerKind::kOldRun) {
+    order.m_stop_confirmed = true;
+    order.m_settled = now;
+    link.m_next_hold = std::min(link.m_next_hold, now);
+  } else {
+    order.m_next_try = now + m_options.m_retry;
+  }
+}
+
+void Dispatcher::OnHold(const RunnerCall& call, const RunnerAnswer& answer,
+                        RunnerLink& link, Instant now) {
+  link.m_hold_out = false;
+  if (answer.m_kind != AnswerKind::kOk) {
+    link.m_next_hold = now + m_options.m_retry;
+    return;
+  }
+  if (!link.m_fenced) {
+    EventLine(Event::kRunnerFenced)
+        .Field("runner", call.m_runner)
+        .Field("epoch", m_epoch)
+        .Field("running", answer.m_running.size())
+        .Field("ended", answer.m_ended.size());
+  }
+  // The first hold has no lease to give: the clock was not known.
+  const bool gave_lease = call.m_expires_ms != 0;
+  link.m_fenced = true;
+  link.m_lapsed = false;
+  link.m_next_hold =
+      link.m_orders.empty() && gave_lease ? now + m_options.m_idle_hold : now;
+  Reconcile(call, answer, link, now);
+}
+
+void Dispatcher::Reconcile(const RunnerCall& call, const RunnerAnswer& answer,
+                           RunnerLink& link, Instant now) {
+  for (const RunningRow& row : answer.m_running) {
+    const auto order = link.m_orders.find(row.m_run.m_task);
+    if (order == link.m_orders.end() ||
+        order->second.m_run != row.m_run.m_run) {
+      SendStop(call.m_runner, link, row.m_run, now);
+      continue;
+    }
+    order->second.m_checkpoint = row.m_checkpoint;
+    order->second.m_progress = row.m_percent;
+    order->second.m_load = row.m_load;
+    order->second.m_listed = now;
+    if (order->second.m_state != OrderState::kLosing) {
+      order->second.m_state = OrderState::kStarted;
+      order->second.m_settled = now;
+    }
+  }
+  wire::EndRunsT ends;
+  ends.runner = call.m_runner;
+  ends.born_ms = link.m_born_ms;
+  ends.seen = call.m_seen;
+  for (const EndedRow& row : answer.m_ended) {
+    if (row.m_number <= call.m_seen) {
+      continue;
+    }
+    ends.seen = std::max(ends.seen, row.m_number);
+    const auto order = link.m_orders.find(row.m_run.m_task);
+    if (order == link.m_orders.end() ||
+        order->second.m_run != row.m_run.m_run) {
+      continue;
+    }
+    order->second.m_listed = now;
+    order->second.m_state = OrderState::kLosing;
+    auto end = std::make_unique<wire::RunEndT>();
+    end->task = std::make_unique<wire::TaskRef>(ToWire(row.m_run));
+    end->how = row.m_how;
+    end->checkpoint = row.m_checkpoint;
+    ends.ends.push_back(std::move(end));
+    EventLine(Event::kRunEnded)
+        .Field("task", jobs::TaskText(row.m_run.m_task))
+        .Field("run", row.m_run.m_run)
+        .Field("runner", call.m_runner)
+        .Field("how", wire::EnumNameEndKind(row.m_how));
+  }
+  if (ends.seen > call.m_seen) {
+    link.m_ends_out = true;
+    link.m_next_hold = now + m_options.m_gather;
+    m_commands.emplace_back().Set(std::move(ends));
+  }
+  std::vector<jobs::RunKey> lost;
+  for (const auto& [task, order] : link.m_orders) {
+    const bool listed = order.m_listed == now && order.m_settled <= now;
+    if (listed || order.m_state == OrderState::kLosing ||
+        order.m_settled >= call.m_sent) {
+      continue;
+    }
+    const bool settled = order.m_state == OrderState::kInherited ||
+                         order.m_state == OrderState::kStarted ||
+                         order.m_state == OrderState::kRejected ||
+                         order.m_stop_confirmed;
+    if (settled && !order.m_call_out) {
+      lost.push_back({task, order.m_run});
+    }
+  }
+  LoseRuns(call.m_runner, link, lost, "not listed");
+}
+
+}  // namespace bronzebarrow::runs
--- a/tests/process_faults.sh
+++ b/tests/process_faults.sh
@@ -9,6 +9,7 @@
 SEED="${2:-1}"
 BUILD="${BUILD:-build}"
 . scripts/lib/group.sh
+check_example "$EXAMPLE" "$SEED"
 trap stop_group EXIT
 
 LOAD_SECONDS=50
@@ -108,7 +109,7 @@
 head -c 16 /dev/zero | dd of="$log" bs=1 seek="$middle" conv=notrunc status=none
 code=0
 timeout 10 "$BUILD/bronzebarrow-control" \
-  --settings "examples/$EXAMPLE/$victim.ini" 2>>"$RUN/$victim.log" || code="$?"
+  --settings "examples/$EXAMPLE/$victim.ini" >>"$RUN/$victim.log" 2>&1 || code="$?"
 [ "$code" -eq 4 ] || fail "a damaged log gave exit code $code, not 4"
 grep -q "code=log_damaged" "$RUN/$victim.log" || fail "no typed error"
 rm -rf "${RUN:?}/$victim"
@@ -156,6 +157,14 @@
 for name in $CONTROLS; do start_control "$name"; done
 version="$(status_number config_version)"
 [ "$version" = "$expected" ] || fail "version $version, not $expected"
+# Every entry must hold that version within the bound for configurations, 3 s.
+held=""
+for _ in $(seq 15); do
+  held="$(entry_versions | sort -u)"
+  [ "$held" = "$expected" ] && break
+  sleep 0.2
+done
+[ "$held" = "$expected" ] || fail "entries hold $held, not all $expected"
 change after-full-restart
 if grep -h invariant_broken "$RUN"/*.log; then fail "an invariant broke"; fi
 echo "all held"
