Move lasting tasks off a machine one by one, within each step's budget

Change: a machine that is to go down hands its lasting tasks over one by one; a task goes only while fewer than its budget's others are away, and one being stopped counts as away. Lasting tasks avoid machines that are still due. Ruled out: a fault of the list of tasks at work (the others were at work until ordered in the same tick).

--- a/include/bronzebarrow/node/upkeep_planner.h
+++ b/include/bronzebarrow/node/upkeep_planner.h
@@ -44,6 +44,8 @@
                 Instant now);
   /** @return whether new work may go to the runner's machine. */
   bool IsOpen(const std::string& runner) const;
+  /** @return whether the runner's machine is still to go down for a wave. */
+  bool IsDue(const std::string& machine) const;
 
   std::vector<fleet::MachineOrder> TakeOrders();
   std::vector<wire::WorkBodyUnion> TakeCommands();
@@ -62,9 +64,10 @@
   };
 
   const jobs::Runner* RunnerOf(const std::string& machine) const;
-  bool BudgetAllows(const jobs::Runner& runner) const;
-  std::uint32_t AwayFrom(const jobs::TaskKey& task,
-                         const std::string& runner) const;
+  bool MayTakeAway(const jobs::TaskKey& task) const;
+  bool IsAtWork(const jobs::TaskKey& key, const jobs::Task& task) const;
+  std::uint32_t Blocked(const jobs::Runner& runner) const;
+  bool StopLasting(const jobs::Runner& runner, Instant now);
   void Choose(const jobs::Upkeep& wave, Instant now);
   void Advance(const std::string& machine, Work& work, Instant now);
   void Record(std::uint64_t wave, const std::string& machine, bool done,
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -19,6 +19,7 @@
 struct Candidate {
   const jobs::Runner* m_runner = nullptr;
   jobs::Room m_free;
+  bool m_is_due = false;  // Its machine goes down soon.
 };
 
 /** Runs to assign to one runner. */
@@ -46,6 +47,8 @@
   const jobs::WorkState& m_state;
   std::uint64_t m_now_ms = 0;
   std::function<bool(const std::string& runner)> m_is_usable;
+  /** Whether the machine goes down soon; tasks that last avoid it. */
+  std::function<bool(const std::string& machine)> m_is_due;
   Adviser* m_adviser = nullptr;  // For queues that need advice.
   std::size_t m_max_runs = 400;  // Of one plan; bounds its record.
 };
--- a/src/node/upkeep_planner.cc
+++ b/src/node/upkeep_planner.cc
@@ -54,55 +54,74 @@
   return found;
 }
 
-// Tasks of the step, elsewhere than on `runner`, that are not at work.
-std::uint32_t UpkeepPlanner::AwayFrom(const jobs::TaskKey& key,
-                                      const std::string& runner) const {
-  const jobs::Job& job = *m_state.FindJob(key.m_job);
+bool UpkeepPlanner::IsDue(const std::string& machine) const {
+  return std::any_of(m_state.waves().begin(), m_state.waves().end(),
+                     [&](const auto& item) {
+                       const auto found = item.second.m_machines.find(machine);
+                       return found != item.second.m_machines.end() &&
+                              found->second == jobs::UpkeepState::kDue;
+                     });
+}
+
+bool UpkeepPlanner::IsAtWork(const jobs::TaskKey& key,
+                             const jobs::Task& task) const {
+  const runs::RunnerLink* const link =
+      task.m_state == jobs::TaskState::kAssigned
+          ? m_dispatcher.FindLink(task.m_runner)
+          : nullptr;
+  if (link == nullptr) {
+    return false;
+  }
+  const auto order = link->m_orders.find(key);
+  return order != link->m_orders.end() && !order->second.m_stop_wanted &&
+         order->second.m_state == runs::OrderState::kStarted &&
+         order->second.m_progress >= kAtWork &&
+         link->m_last_answer < order->second.m_listed + kFreshList;
+}
+
+// The budget of the task's step: a task may go while fewer than `may_miss`
+// others are away. A task that is away itself costs nothing more.
+bool UpkeepPlanner::MayTakeAway(const jobs::TaskKey& key) const {
+  const wire::StepSpecT* const step = m_state.FindStep(key);
+  const jobs::Job* const job = m_state.FindJob(key.m_job);
+  if (step == nullptr || step->may_miss == 0 ||
+      job->m_state != jobs::JobState::kActive) {
+    return true;
+  }
   const auto& tasks =
-      job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step].m_tasks;
+      job->m_occurrences.at(key.m_occurrence).m_steps[key.m_step].m_tasks;
   std::uint32_t away = 0;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
-    const jobs::Task& task = tasks[index];
-    if (task.m_state == jobs::TaskState::kAssigned &&
-        task.m_runner == runner) {
-      continue;
-    }
-    const runs::RunnerLink* const link =
-        task.m_state == jobs::TaskState::kAssigned
-            ? m_dispatcher.FindLink(task.m_runner)
-            : nullptr;
-    bool at_work = false;
-    if (link != nullptr) {
+    if (index != key.m_index) {
       jobs::TaskKey other = key;
       other.m_index = static_cast<std::uint16_t>(index);
-      const auto order = link->m_orders.find(other);
-      at_work = order != link->m_orders.end() &&
-                !order->second.m_stop_wanted &&
-                order->second.m_state == runs::OrderState::kStarted &&
-                order->second.m_progress >= kAtWork &&
-                link->m_last_answer < order->second.m_listed + kFreshList;
+      away += IsAtWork(other, tasks[index]) ? 0 : 1;
     }
-    away += at_work ? 0 : 1;
   }
-  return away;
+  return away < step->may_miss;
+}
+
+std::uint32_t UpkeepPlanner::Blocked(const jobs::Runner& runner) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      runner.m_assigned.begin(), runner.m_assigned.end(),
+      [&](const auto& item) { return !MayTakeAway(item.first); }));
 }
 
-bool UpkeepPlanner::BudgetAllows(const jobs::Runner& runner) const {
-  std::map<jobs::TaskKey, std::uint32_t> of_step;
+// Moves tasks that last to other runners, each as its budget allows.
+// @return whether none is left.
+bool UpkeepPlanner::StopLasting(const jobs::Runner& runner, Instant now) {
+  bool none_left = true;
   for (const auto& [task, run] : runner.m_assigned) {
     const wire::StepSpecT* const step = m_state.FindStep(task);
-    const jobs::Job* const job = m_state.FindJob(task.m_job);
-    if (step != nullptr && step->may_miss > 0 &&
-        job->m_state == jobs::JobState::kActive) {
-      jobs::TaskKey key = task;
-      key.m_index = 0;
-      ++of_step[key];
+    if (step == nullptr || !step->lasting) {
+      continue;
+    }
+    none_left = false;
+    if (MayTakeAway(task)) {
+      m_dispatcher.StopRun(runner.m_record.id, task, now);
     }
   }
-  return std::all_of(of_step.begin(), of_step.end(), [&](const auto& item) {
-    const std::uint32_t away = AwayFrom(item.first, runner.m_record.id);
-    return away + item.second <= m_state.FindStep(item.first)->may_miss;
-  });
+  return none_left;
 }
 
 void UpkeepPlanner::Record(std::uint64_t wave, const std::string& machine,
@@ -161,7 +180,7 @@
   }
   while (busy < wave.m_cap) {
     const jobs::Runner* best = nullptr;
-    std::tuple<bool, std::int64_t> best_score;
+    std::tuple<std::uint32_t, std::int64_t> best_score;
     for (const auto& [machine, state] : wave.m_machines) {
       if (state != jobs::UpkeepState::kDue || m_work.contains(machine)) {
         continue;
@@ -170,8 +189,7 @@
       if (runner == nullptr || runner->m_record.draining) {
         continue;
       }
-      const std::tuple score = {!BudgetAllows(*runner),
-                                runner->m_used.m_cpu_milli};
+      const std::tuple score = {Blocked(*runner), runner->m_used.m_cpu_milli};
       if (best == nullptr || score < best_score) {
         best = runner;
         best_score = score;
@@ -211,7 +229,7 @@
             return step != nullptr && !step->lasting;
           });
       const bool waited = now >= work.m_since + m_options.m_drain;
-      if ((has_short && !waited) || !BudgetAllows(*runner)) {
+      if (!StopLasting(*runner, now) || (has_short && !waited)) {
         break;
       }
       work.m_phase = Phase::kOrdering;
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -336,6 +336,9 @@
     return m_dispatcher.IsUsable(runner, m_moment.m_now) &&
            m_upkeep.IsOpen(runner);
   };
+  input.m_is_due = [this](const std::string& machine) {
+    return m_upkeep.IsDue(machine);
+  };
   input.m_adviser = &m_advice;
   for (placement::Placement& placement : placement::Plan(input)) {
     wire::AssignRunsT assign;
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -30,7 +30,9 @@
       if (runner.m_record.draining || !input.m_is_usable(id)) {
         continue;
       }
-      m_pools[runner.m_record.pool].push_back({&runner, runner.Free()});
+      const bool due =
+          input.m_is_due && input.m_is_due(runner.m_record.machine);
+      m_pools[runner.m_record.pool].push_back({&runner, runner.Free(), due});
     }
   }
 
@@ -139,7 +141,7 @@
                   std::map<std::string, std::uint32_t>& on_runner,
                   std::map<std::string, std::uint32_t>& on_rack,
                   std::vector<Candidate>& candidates) {
-    using Score = std::tuple<bool, std::int64_t, bool, std::uint32_t,
+    using Score = std::tuple<bool, std::int64_t, bool, bool, std::uint32_t,
                              std::uint32_t, std::int64_t>;
     Candidate* best = nullptr;
     Score best_score;
@@ -166,6 +168,7 @@
       const Score score = {far,
                            apart,
                            task.m_failures > 0 && task.m_runner == id,
+                           spreads && candidate.m_is_due,
                            spreads ? Count(on_runner, id) : 0,
                            spreads ? Count(on_rack, rack) : 0,
                            -candidate.m_free.m_cpu_milli};
