Let machines follow the demand between pools; upkeep of resting machines

Cause: each queue in turn asked more than its pool holds while the other pools idled: a fifth of the jobs were never done in time, and idle machines were paid for. 6 of 27 machines of the wave rest in the standby pool, have no runner and were never chosen, so no wave could end. Change: placement::Balance moves machines from pools that idle (or rest) to pools with more ready work than room, and rests what stayed idle for as long as a move there and back costs; MachinePlanner empties a machine before its order. Lasting tasks are packed on few machines, one of a step each. Resting machines get their upkeep first. Ruled out: processor time of the leader (7% of its core at most).

--- a/include/bronzebarrow/node/upkeep_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -1,11 +1,13 @@
-// Waves of upkeep: which machine goes down next, under the wave's cap and the
-// availability budgets of tasks that last. Load pattern: half of all machines
-// due within 26 s, several at once, during bursts.
-#ifndef BRONZEBARROW_NODE_UPKEEP_PLANNER_H_
-#define BRONZEBARROW_NODE_UPKEEP_PLANNER_H_
+// Orders for machines. Waves of upkeep go on under their cap and the
+// availability budgets of tasks that last; machines follow the demand between
+// pools. Load pattern: half of all machines due within 26 s, several at once,
+// while queues take turns at several times their mean.
+#ifndef BRONZEBARROW_NODE_MACHINE_PLANNER_H_
+#define BRONZEBARROW_NODE_MACHINE_PLANNER_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,11 +15,12 @@
 #include "bronzebarrow/base/time.h"
 #include "bronzebarrow/fleet/machine.h"
 #include "bronzebarrow/jobs.h"
+#include "bronzebarrow/placement.h"
 #include "bronzebarrow/runs.h"
 
 namespace bronzebarrow::node {
 
-struct UpkeepOptions {
+struct MachineOptions {
   std::string m_holder;  // Name under which orders are sent.
   /** Pause after a change of owners before the first order. */
   Duration m_handover = Millis(3300);
@@ -26,20 +29,28 @@
   /** A machine that was ordered down and is there after this is back. */
   Duration m_upkeep = Millis(2000);
   Duration m_retry = Millis(400);
+  /** A move is given up when its machine is not empty after this. */
+  Duration m_max_move_drain = Millis(1500);
+  /** How often pools are balanced, and the platform's list is read. */
+  Duration m_balance_interval = Millis(100);
+  Duration m_list_interval = Millis(10'000);
+  placement::BalanceOptions m_balance;
 };
 
 /** Decides; the shell carries orders out and the log records them. */
-class UpkeepPlanner {
+class MachinePlanner {
  public:
-  UpkeepPlanner(const jobs::WorkState& state, runs::Dispatcher& dispatcher,
-                UpkeepOptions options)
+  MachinePlanner(const jobs::WorkState& state, runs::Dispatcher& dispatcher,
+                MachineOptions options)
       : m_state(state),
         m_dispatcher(dispatcher),
         m_options(std::move(options)) {}
 
   void Lead(std::uint64_t epoch, Instant now);
   void StopLeading();
-  void Tick(Instant now);
+  /** @param plan_out whether assignments are on their way to the log */
+  void Tick(Moment moment, bool plan_out);
+  void OnList(std::vector<fleet::Machine> machines, Instant now);
   void OnAnswer(const fleet::MachineOrder& order, fleet::MachineAnswer answer,
                 Instant now);
   /** @return whether new work may go to the runner's machine. */
@@ -49,12 +60,16 @@
 
   std::vector<fleet::MachineOrder> TakeOrders();
   std::vector<wire::WorkBodyUnion> TakeCommands();
-  bool TakeListWish(Instant) { return false; }
+  /** @return whether the platform's list should be read now. */
+  bool TakeListWish(Instant now);
 
  private:
   enum class Phase { kDraining, kOrdering, kDown };
   struct Work {
-    std::uint64_t m_wave = 0;
+    fleet::MachineAction m_action = fleet::MachineAction::kUpkeep;
+    std::uint64_t m_wave = 0;    // Of an upkeep.
+    std::string m_pool;          // Where a move goes.
+    bool m_settled = false;      // No assignment from before is on its way.
     Phase m_phase = Phase::kDraining;
     Instant m_since;
     Instant m_next_try;
@@ -69,21 +84,34 @@
   std::uint32_t Blocked(const jobs::Runner& runner) const;
   bool StopLasting(const jobs::Runner& runner, Instant now);
   void Choose(const jobs::Upkeep& wave, Instant now);
-  void Advance(const std::string& machine, Work& work, Instant now);
+  Work& Begin(const std::string& machine, const jobs::Runner* runner,
+              Instant now);
+  /** @return whether the work is over. */
+  bool Advance(const std::string& machine, Work& work, Instant now);
+  bool Drain(const std::string& machine, Work& work, Instant now);
+  void Order(const std::string& machine, Work& work, Instant now);
+  bool IsBack(const std::string& machine, const Work& work, Instant now) const;
+  void BalancePools(Moment moment);
+  std::vector<placement::PoolLoad> Loads(Moment moment);
   void Record(std::uint64_t wave, const std::string& machine, bool done,
               bool skipped);
 
   const jobs::WorkState& m_state;
   runs::Dispatcher& m_dispatcher;
-  UpkeepOptions m_options;
+  MachineOptions m_options;
   std::uint64_t m_epoch = 0;
   Instant m_led_since;
   std::map<std::string, Work> m_work;  // By machine.
   std::set<std::string> m_closed;      // Runners that get no new work.
+  std::map<std::string, fleet::Machine> m_listed;  // As last read or moved.
+  std::map<std::string, Instant> m_last_short;     // Pools that lacked room.
+  std::int64_t m_machine_milli = 0;  // Processor of the largest machine.
+  Instant m_next_balance;
+  Instant m_next_list;
   std::vector<fleet::MachineOrder> m_orders;
   std::vector<wire::WorkBodyUnion> m_commands;
 };
 
 }  // namespace bronzebarrow::node
 
-#endif  // BRONZEBARROW_NODE_UPKEEP_PLANNER_H_
+#endif  // BRONZEBARROW_NODE_MACHINE_PLANNER_H_
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -34,7 +34,7 @@
   std::string m_adviser;      // Host and port; empty: none.
   Duration m_election_timeout = Millis(600);
   Duration m_heartbeat = Millis(100);
-  UpkeepOptions m_upkeep;
+  MachineOptions m_machines;
 };
 
 /** Runs on one executor that handles one event at a time. */
@@ -82,6 +82,7 @@
       bool* refused);
   boost::asio::awaitable<void> RunCall(runs::RunnerCall call);
   boost::asio::awaitable<void> RunOrder(fleet::MachineOrder order);
+  boost::asio::awaitable<void> ReadMachines();
   boost::asio::awaitable<void> RunAdvice(AdviceRequest request);
   boost::asio::awaitable<wire::CallReplyT> CallHere(
       const wire::CallBodyUnion& body, Instant deadline);
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -15,7 +15,7 @@
 #include "bronzebarrow/consensus.h"
 #include "bronzebarrow/jobs.h"
 #include "bronzebarrow/node/advice_book.h"
-#include "bronzebarrow/node/upkeep_planner.h"
+#include "bronzebarrow/node/machine_planner.h"
 #include "bronzebarrow/runs.h"
 
 namespace bronzebarrow::node {
@@ -23,7 +23,7 @@
 struct WorkCoreOptions {
   consensus::ReplicaOptions m_replica;
   runs::DispatcherOptions m_dispatcher;
-  UpkeepOptions m_upkeep;
+  MachineOptions m_machines;
   /** A leader that was not confirmed for this long answers no calls. */
   Duration m_lead_lease = Millis(1000);
   /** Entries between two snapshots, and entries kept before one. */
@@ -80,7 +80,7 @@
   std::vector<fleet::MachineOrder> TakeMachineOrders();
   std::vector<AdviceRequest> TakeAdviceRequests();
   /** @return whether the list of machines should be read now. */
-  bool TakeListWish(Instant now) { return m_upkeep.TakeListWish(now); }
+  bool TakeListWish(Instant now) { return m_machines.TakeListWish(now); }
 
   /** @return whether this member leads, owns the pools and was confirmed. */
   bool CanServe(Instant now) const;
@@ -146,7 +146,7 @@
   consensus::Replica m_replica;
   jobs::WorkState m_state;
   runs::Dispatcher m_dispatcher;
-  UpkeepPlanner m_upkeep;
+  MachinePlanner m_machines;
   AdviceBook m_advice;
   Moment m_moment;  // Of the event being handled.
   std::uint64_t m_applied_index = 0;
--- a/include/bronzebarrow/placement.h
+++ b/include/bronzebarrow/placement.h
@@ -4,5 +4,6 @@
 
 #include "bronzebarrow/placement/job_order.h"
 #include "bronzebarrow/placement/planner.h"
+#include "bronzebarrow/placement/pool_balance.h"
 
 #endif  // BRONZEBARROW_PLACEMENT_H_
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -6,6 +6,8 @@
 #define BRONZEBARROW_PLACEMENT_JOB_ORDER_H_
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "bronzebarrow/jobs.h"
@@ -35,6 +37,13 @@
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
                                 std::uint64_t now_ms);
 
+/**
+ * @return processor, in thousandths of a core, that tasks which could start
+ * now ask for, by pool; hopeless jobs do not count.
+ */
+std::map<std::string, std::int64_t> ReadyMilli(const jobs::WorkState& state,
+                                               std::uint64_t now_ms);
+
 }  // namespace bronzebarrow::placement
 
 #endif  // BRONZEBARROW_PLACEMENT_JOB_ORDER_H_
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -20,6 +20,7 @@
   const jobs::Runner* m_runner = nullptr;
   jobs::Room m_free;
   bool m_is_due = false;  // Its machine goes down soon.
+  std::int64_t m_lasting = 0;  // Tasks that last on it.
 };
 
 /** Runs to assign to one runner. */
--- /dev/null
+++ b/src/node/machine_planner.cc
@@ -0,0 +1,512 @@
+// Choosing machines for upkeep and moves, and seeing each through.
+#include "bronzebarrow/node/machine_planner.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "bronzebarrow/base/event_log.h"
+
+namespace bronzebarrow::node {
+namespace {
+
+// A lasting task counts as at work when its runner listed it at full
+// progress within this time: a hold answers every second at least.
+constexpr Duration kFreshList = Millis(2500);
+constexpr std::uint32_t kAtWork = 100;
+// A machine may be moved while its short tasks hold at most this part of it.
+constexpr std::int64_t kMovableShare = 4;
+// A machine without a runner is back this long after its upkeep should end.
+constexpr Duration kReturnMargin = Millis(500);
+
+}  // namespace
+
+void MachinePlanner::Lead(std::uint64_t epoch, Instant now) {
+  StopLeading();
+  m_epoch = epoch;
+  m_led_since = now;
+  m_next_list = now + m_options.m_handover;
+  m_next_balance = m_next_list;
+}
+
+void MachinePlanner::StopLeading() {
+  m_epoch = 0;
+  m_work.clear();
+  m_closed.clear();
+  m_listed.clear();
+  m_last_short.clear();
+  m_orders.clear();
+  m_commands.clear();
+}
+
+std::vector<fleet::MachineOrder> MachinePlanner::TakeOrders() {
+  return std::exchange(m_orders, {});
+}
+
+std::vector<wire::WorkBodyUnion> MachinePlanner::TakeCommands() {
+  return std::exchange(m_commands, {});
+}
+
+bool MachinePlanner::IsOpen(const std::string& runner) const {
+  return !m_closed.contains(runner);
+}
+
+const jobs::Runner* MachinePlanner::RunnerOf(const std::string& machine) const {
+  const jobs::Runner* found = nullptr;
+  for (const auto& [id, runner] : m_state.runners()) {
+    if (runner.m_record.machine == machine &&
+        (found == nullptr || runner.m_record.born_ms > found->m_record.born_ms)) {
+      found = &runner;
+    }
+  }
+  return found;
+}
+
+bool MachinePlanner::IsDue(const std::string& machine) const {
+  return std::any_of(m_state.waves().begin(), m_state.waves().end(),
+                     [&](const auto& item) {
+                       const auto found = item.second.m_machines.find(machine);
+                       return found != item.second.m_machines.end() &&
+                              found->second == jobs::UpkeepState::kDue;
+                     });
+}
+
+bool MachinePlanner::IsAtWork(const jobs::TaskKey& key,
+                             const jobs::Task& task) const {
+  const runs::RunnerLink* const link =
+      task.m_state == jobs::TaskState::kAssigned
+          ? m_dispatcher.FindLink(task.m_runner)
+          : nullptr;
+  if (link == nullptr) {
+    return false;
+  }
+  const auto order = link->m_orders.find(key);
+  return order != link->m_orders.end() && !order->second.m_stop_wanted &&
+         order->second.m_state == runs::OrderState::kStarted &&
+         order->second.m_progress >= kAtWork &&
+         link->m_last_answer < order->second.m_listed + kFreshList;
+}
+
+// The budget of the task's step: a task may go while fewer than `may_miss`
+// others are away. A task that is away itself costs nothing more.
+bool MachinePlanner::MayTakeAway(const jobs::TaskKey& key) const {
+  const wire::StepSpecT* const step = m_state.FindStep(key);
+  const jobs::Job* const job = m_state.FindJob(key.m_job);
+  if (step == nullptr || step->may_miss == 0 ||
+      job->m_state != jobs::JobState::kActive) {
+    return true;
+  }
+  const auto& tasks =
+      job->m_occurrences.at(key.m_occurrence).m_steps[key.m_step].m_tasks;
+  std::uint32_t away = 0;
+  for (std::size_t index = 0; index < tasks.size(); ++index) {
+    if (index != key.m_index) {
+      jobs::TaskKey other = key;
+      other.m_index = static_cast<std::uint16_t>(index);
+      away += IsAtWork(other, tasks[index]) ? 0 : 1;
+    }
+  }
+  return away < step->may_miss;
+}
+
+std::uint32_t MachinePlanner::Blocked(const jobs::Runner& runner) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      runner.m_assigned.begin(), runner.m_assigned.end(),
+      [&](const auto& item) { return !MayTakeAway(item.first); }));
+}
+
+// Moves tasks that last to other runners, each as its budget allows.
+// @return whether none is left.
+bool MachinePlanner::StopLasting(const jobs::Runner& runner, Instant now) {
+  bool none_left = true;
+  for (const auto& [task, run] : runner.m_assigned) {
+    const wire::StepSpecT* const step = m_state.FindStep(task);
+    if (step == nullptr || !step->lasting) {
+      continue;
+    }
+    none_left = false;
+    if (MayTakeAway(task)) {
+      m_dispatcher.StopRun(runner.m_record.id, task, now);
+    }
+  }
+  return none_left;
+}
+
+void MachinePlanner::Record(std::uint64_t wave, const std::string& machine,
+                           bool done, bool skipped) {
+  wire::RecordUpkeepT record;
+  record.wave = wave;
+  record.machine = machine;
+  record.done = done;
+  record.skipped = skipped;
+  m_commands.emplace_back().Set(std::move(record));
+  EventLine(Event::kUpkeepStep)
+      .Field("wave", wave)
+      .Field("machine", machine)
+      .Field("step", skipped ? "skipped" : done ? "done" : "ordered");
+}
+
+bool MachinePlanner::TakeListWish(Instant now) {
+  if (m_epoch == 0 || now < m_next_list) {
+    return false;
+  }
+  m_next_list = now + m_options.m_list_interval;
+  return true;
+}
+
+void MachinePlanner::OnList(std::vector<fleet::Machine> machines,
+                            Instant now) {
+  m_listed.clear();
+  for (fleet::Machine& machine : machines) {
+    m_listed[machine.m_name] = std::move(machine);
+  }
+  m_next_balance = std::min(m_next_balance, now);
+}
+
+void MachinePlanner::Tick(Moment moment, bool plan_out) {
+  const Instant now = moment.m_now;
+  if (m_epoch == 0 || now < m_led_since + m_options.m_handover) {
+    return;
+  }
+  for (const auto& [number, wave] : m_state.waves()) {
+    for (const auto& [machine, state] : wave.m_machines) {
+      if (state == jobs::UpkeepState::kOrdered && !m_work.contains(machine)) {
+        // Ordered by an earlier owner: the same order is carried out once.
+        Work& work = Begin(machine, nullptr, now);
+        work.m_wave = number;
+        work.m_phase = Phase::kOrdering;
+      }
+    }
+    if (!wave.IsCompleted()) {
+      Choose(wave, now);
+    }
+  }
+  if (now >= m_next_balance) {
+    m_next_balance = now + m_options.m_balance_interval;
+    BalancePools(moment);
+  }
+  for (auto work = m_work.begin(); work != m_work.end();) {
+    work->second.m_settled = work->second.m_settled || !plan_out;
+    if (Advance(work->first, work->second, now)) {
+      m_closed.erase(work->second.m_runner);
+      work = m_work.erase(work);
+    } else {
+      ++work;
+    }
+  }
+}
+
+MachinePlanner::Work& MachinePlanner::Begin(const std::string& machine,
+                                            const jobs::Runner* runner,
+                                            Instant now) {
+  Work& work = m_work[machine];
+  work = Work();
+  work.m_since = now;
+  work.m_next_try = now;
+  if (runner != nullptr) {
+    work.m_runner = runner->m_record.id;
+    work.m_born_ms = runner->m_record.born_ms;
+    m_closed.insert(work.m_runner);
+  }
+  return work;
+}
+
+void MachinePlanner::Choose(const jobs::Upkeep& wave, Instant now) {
+  std::uint32_t busy = 0;
+  for (const auto& [machine, work] : m_work) {
+    busy += work.m_action == fleet::MachineAction::kUpkeep &&
+                    work.m_wave == wave.m_wave
+                ? 1
+                : 0;
+  }
+  while (busy < wave.m_cap) {
+    // Resting machines first, then those whose tasks can go soonest.
+    std::string best;
+    const jobs::Runner* best_runner = nullptr;
+    std::tuple<std::uint32_t, std::int64_t> best_score;
+    for (const auto& [machine, state] : wave.m_machines) {
+      if (state != jobs::UpkeepState::kDue || m_work.contains(machine)) {
+        continue;
+      }
+      const jobs::Runner* const runner = RunnerOf(machine);
+      if (runner != nullptr && runner->m_record.draining) {
+        continue;
+      }
+      std::tuple<std::uint32_t, std::int64_t> score;
+      if (runner != nullptr) {
+        score = {Blocked(*runner), runner->m_used.m_cpu_milli};
+      }
+      if (best.empty() || score < best_score) {
+        best = machine;
+        best_runner = runner;
+        best_score = score;
+      }
+    }
+    if (best.empty()) {
+      return;
+    }
+    Work& work = Begin(best, best_runner, now);
+    work.m_wave = wave.m_wave;
+    ++busy;
+  }
+}
+
+bool MachinePlanner::Advance(const std::string& machine, Work& work,
+                             Instant now) {
+  const bool is_upkeep = work.m_action == fleet::MachineAction::kUpkeep;
+  if (is_upkeep) {
+    const auto wave = m_state.waves().find(work.m_wave);
+    const auto state = wave == m_state.waves().end()
+                           ? jobs::UpkeepState::kSkipped
+                           : wave->second.m_machines.at(machine);
+    if (state == jobs::UpkeepState::kDone ||
+        state == jobs::UpkeepState::kSkipped) {
+      return true;
+    }
+    if (work.m_phase == Phase::kOrdering &&
+        state != jobs::UpkeepState::kOrdered) {
+      return false;  // The log does not know of the order yet.
+    }
+  }
+  switch (work.m_phase) {
+    case Phase::kDraining:
+      if (Drain(machine, work, now)) {
+        work.m_phase = Phase::kOrdering;
+        if (is_upkeep) {
+          Record(work.m_wave, machine, false, false);
+        }
+      } else if (!is_upkeep &&
+                 now >= work.m_since + m_options.m_max_move_drain) {
+        return true;
+      }
+      return false;
+    case Phase::kOrdering:
+      Order(machine, work, now);
+      return false;
+    case Phase::kDown:
+      if (!IsBack(machine, work, now)) {
+        return false;
+      }
+      if (!is_upkeep) {
+        return true;
+      }
+      if (now >= work.m_next_try) {
+        work.m_next_try = now + m_options.m_retry;
+        Record(work.m_wave, machine, true, false);
+      }
+      return false;
+  }
+  return false;
+}
+
+// @return whether nothing on the machine stands against the order any more.
+bool MachinePlanner::Drain(const std::string& machine, Work& work,
+                           Instant now) {
+  if (!work.m_settled) {
+    return false;
+  }
+  if (work.m_runner.empty()) {
+    return true;
+  }
+  const jobs::Runner* const runner = m_state.FindRunner(work.m_runner);
+  if (runner == nullptr || runner->m_record.born_ms != work.m_born_ms) {
+    m_closed.erase(work.m_runner);
+    work.m_runner.clear();
+    const jobs::Runner* const next = RunnerOf(machine);
+    if (next == nullptr) {
+      return true;
+    }
+    work.m_runner = next->m_record.id;  // Another life of it has begun.
+    work.m_born_ms = next->m_record.born_ms;
+    m_closed.insert(work.m_runner);
+    work.m_settled = false;
+    return false;
+  }
+  if (work.m_action == fleet::MachineAction::kMove) {
+    return runner->m_assigned.empty();
+  }
+  const bool has_short = std::any_of(
+      runner->m_assigned.begin(), runner->m_assigned.end(),
+      [&](const auto& item) {
+        const auto* step = m_state.FindStep(item.first);
+        return step != nullptr && !step->lasting;
+      });
+  const bool waited = now >= work.m_since + m_options.m_drain;
+  return StopLasting(*runner, now) && (!has_short || waited);
+}
+
+void MachinePlanner::Order(const std::string& machine, Work& work,
+                           Instant now) {
+  if (work.m_order_out || now < work.m_next_try) {
+    return;
+  }
+  fleet::MachineOrder order;
+  order.m_action = work.m_action;
+  order.m_machine = machine;
+  order.m_pool = work.m_pool;
+  order.m_wave = work.m_wave;
+  order.m_holder = m_options.m_holder;
+  order.m_epoch = m_epoch;
+  work.m_order_out = true;
+  m_orders.push_back(std::move(order));
+}
+
+bool MachinePlanner::IsBack(const std::string& machine, const Work& work,
+                            Instant now) const {
+  const wire::PoolSpecT* const pool = m_state.queues().FindPool(work.m_pool);
+  if (work.m_action == fleet::MachineAction::kMove && pool != nullptr &&
+      pool->standby) {
+    return true;
+  }
+  const jobs::Runner* const runner = RunnerOf(machine);
+  if (runner == nullptr) {
+    // A resting machine has no runner to come back.
+    return work.m_action == fleet::MachineAction::kUpkeep &&
+           work.m_runner.empty() &&
+           now >= work.m_since + m_options.m_upkeep + kReturnMargin;
+  }
+  const bool is_old = runner->m_record.id == work.m_runner &&
+                      runner->m_record.born_ms == work.m_born_ms;
+  if (work.m_action == fleet::MachineAction::kMove) {
+    return !is_old && runner->m_record.pool == work.m_pool;
+  }
+  return !is_old && now >= work.m_since + m_options.m_upkeep;
+}
+
+std::vector<placement::PoolLoad> MachinePlanner::Loads(Moment moment) {
+  std::map<std::string, placement::PoolLoad> loads;
+  for (const auto& pool : m_state.queues().config().pools) {
+    placement::PoolLoad& load = loads[pool->name];
+    load.m_pool = pool->name;
+    load.m_standby = pool->standby;
+  }
+  for (const auto& [id, runner] : m_state.runners()) {
+    const auto load = loads.find(runner.m_record.pool);
+    if (load == loads.end() || runner.m_record.draining ||
+        m_closed.contains(id) || !m_dispatcher.IsUsable(id, moment.m_now)) {
+      continue;
+    }
+    ++load->second.m_machines;
+    load->second.m_machine_milli = runner.m_record.cpu_milli;
+    load->second.m_used_milli += runner.m_used.m_cpu_milli;
+    const bool has_lasting = std::any_of(
+        runner.m_assigned.begin(), runner.m_assigned.end(),
+        [&](const auto& item) {
+          const auto* step = m_state.FindStep(item.first);
+          return step == nullptr || step->lasting;
+        });
+    if (!has_lasting && !runner.m_record.machine.empty() &&
+        !m_work.contains(runner.m_record.machine) &&
+        runner.m_used.m_cpu_milli * kMovableShare <=
+            runner.m_record.cpu_milli) {
+      load->second.m_movable.push_back(
+          {runner.m_record.machine, runner.m_used.m_cpu_milli});
+    }
+  }
+  for (const auto& [machine, work] : m_work) {
+    const auto load = loads.find(work.m_pool);
+    if (work.m_action == fleet::MachineAction::kMove && load != loads.end()) {
+      ++load->second.m_machines;
+    }
+  }
+  for (const auto& [name, machine] : m_listed) {
+    const auto load = loads.find(machine.m_pool);
+    if (load != loads.end() && load->second.m_standby &&
+        machine.m_state == fleet::MachineState::kUp &&
+        !m_work.contains(name) && RunnerOf(name) == nullptr) {
+      load->second.m_movable.push_back({name, 0});
+    }
+  }
+  const auto ready = placement::ReadyMilli(m_state, moment.m_wall_ms);
+  std::vector<placement::PoolLoad> result;
+  for (auto& [name, load] : loads) {
+    const auto milli = ready.find(name);
+    load.m_ready_milli = milli == ready.end() ? 0 : milli->second;
+    Instant& last_short =
+        m_last_short.emplace(name, moment.m_now).first->second;
+    if (load.m_ready_milli > 0) {
+      last_short = moment.m_now;
+    }
+    load.m_calm_ms =
+        std::chrono::duration_cast<Millis>(moment.m_now - last_short).count();
+    if (load.m_machine_milli == 0 && !load.m_standby) {
+      load.m_machine_milli = m_machine_milli;
+    }
+    m_machine_milli = std::max(m_machine_milli, load.m_machine_milli);
+    result.push_back(std::move(load));
+  }
+  return result;
+}
+
+void MachinePlanner::BalancePools(Moment moment) {
+  for (const placement::PoolMove& move :
+       placement::Balance(Loads(moment), m_options.m_balance)) {
+    Work& work = Begin(move.m_machine, RunnerOf(move.m_machine), moment.m_now);
+    work.m_action = fleet::MachineAction::kMove;
+    work.m_pool = move.m_to;
+    EventLine(Event::kMachineMoved)
+        .Field("machine", move.m_machine)
+        .Field("from", move.m_from)
+        .Field("to", move.m_to)
+        .Field("step", "begun");
+  }
+}
+
+void MachinePlanner::OnAnswer(const fleet::MachineOrder& order,
+                              fleet::MachineAnswer answer, Instant now) {
+  const auto found = m_work.find(order.m_machine);
+  if (order.m_epoch != m_epoch || found == m_work.end()) {
+    return;
+  }
+  Work& work = found->second;
+  work.m_order_out = false;
+  work.m_next_try = now + m_options.m_retry;
+  const bool is_upkeep = order.m_action == fleet::MachineAction::kUpkeep;
+  EventLine(is_upkeep ? Event::kUpkeepStep : Event::kMachineMoved)
+      .Field("wave", order.m_wave)
+      .Field("machine", order.m_machine)
+      .Field("to", order.m_pool)
+      .Field("answer", NameOf(answer));
+  switch (answer) {
+    case fleet::MachineAnswer::kOk: {
+      work.m_phase = Phase::kDown;
+      work.m_since = now;
+      if (!is_upkeep) {
+        m_listed[order.m_machine].m_name = order.m_machine;
+        m_listed[order.m_machine].m_pool = order.m_pool;
+        m_listed[order.m_machine].m_state = fleet::MachineState::kUp;
+      }
+      if (!work.m_runner.empty()) {
+        wire::RemoveRunnerT remove;
+        remove.runner = work.m_runner;
+        remove.born_ms = work.m_born_ms;
+        m_commands.emplace_back().Set(std::move(remove));
+      }
+      break;
+    }
+    case fleet::MachineAnswer::kInvalid:
+    case fleet::MachineAnswer::kNotDue:
+      m_next_list = std::min(m_next_list, now + m_options.m_retry);
+      if (is_upkeep) {
+        Record(order.m_wave, order.m_machine, false, true);
+      } else {
+        m_listed.erase(order.m_machine);
+        m_closed.erase(work.m_runner);
+        m_work.erase(found);
+      }
+      break;
+    case fleet::MachineAnswer::kBusy:
+    case fleet::MachineAnswer::kFenced:
+      if (!is_upkeep) {
+        m_listed.erase(order.m_machine);
+        m_closed.erase(work.m_runner);
+        m_work.erase(found);
+      }
+      break;
+    case fleet::MachineAnswer::kThrottled:
+    case fleet::MachineAnswer::kNoAnswer:
+      break;
+  }
+}
+
+}  // namespace bronzebarrow::node
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -29,6 +29,7 @@
 // A process whose disk refuses writes ends after this pause, so that it is
 // not restarted in a tight loop.
 constexpr auto kDiskPause = std::chrono::seconds(1);
+constexpr int kMaxPages = 64;
 constexpr Duration kRetirePoll = Millis(50);
 constexpr int kRetirePolls = 30;
 constexpr Duration kSlice = Millis(500);
@@ -45,7 +46,7 @@
   options.m_replica.m_seed = random();
   options.m_replica.m_remove_after = Millis(5000);
   options.m_replica.m_min_voters = 2 * settings.m_losses + 1;
-  options.m_upkeep = settings.m_upkeep;
+  options.m_machines = settings.m_machines;
   options.m_first_token = static_cast<std::uint64_t>(random()) << 32;
   return options;
 }
@@ -266,6 +267,9 @@
   for (AdviceRequest& request : m_core->TakeAdviceRequests()) {
     asio::co_spawn(m_executor, RunAdvice(std::move(request)), asio::detached);
   }
+  if (m_core->TakeListWish(Now())) {
+    asio::co_spawn(m_executor, ReadMachines(), asio::detached);
+  }
   TellViews();
 }
 
@@ -431,6 +435,33 @@
   Flush();
 }
 
+asio::awaitable<void> MemberNode::ReadMachines() {
+  const auto self = shared_from_this();
+  std::vector<fleet::Machine> machines;
+  std::string page;
+  for (int i = 0; i < kMaxPages; ++i) {
+    bool refused = false;
+    const auto response =
+        co_await Exchange(m_settings.m_machine_api, m_dialect->EncodeList(page),
+                          kMachineTimeout, &refused);
+    const auto next = response ? m_dialect->DecodeList(*response, machines)
+                               : std::nullopt;
+    if (!next) {
+      EventLine(Event::kCallUncertain, Severity::kWarning)
+          .Field("call", "list of machines")
+          .Field("page", page);
+      co_return;
+    }
+    if (next->empty()) {
+      break;
+    }
+    page = *next;
+  }
+  EventLine(Event::kSummary).Field("machines_listed", machines.size());
+  m_core->OnMachineList(std::move(machines), CurrentMoment());
+  Flush();
+}
+
 asio::awaitable<void> MemberNode::RunAdvice(AdviceRequest request) {
   const auto self = shared_from_this();
   const std::string step =
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -29,7 +29,7 @@
     : m_options(std::move(options)),
       m_replica(m_options.m_replica, std::move(durable), moment.m_now),
       m_dispatcher(m_state, m_options.m_dispatcher),
-      m_upkeep(m_state, m_dispatcher, m_options.m_upkeep),
+      m_machines(m_state, m_dispatcher, m_options.m_machines),
       m_advice(m_state),
       m_moment(moment),
       m_next_token(m_options.m_first_token) {
@@ -43,9 +43,9 @@
     m_replica.RequestProof();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
-      m_upkeep.Tick(moment.m_now);
+      m_machines.Tick(moment, !m_assigning.empty());
     }
-    for (wire::WorkBodyUnion& body : m_upkeep.TakeCommands()) {
+    for (wire::WorkBodyUnion& body : m_machines.TakeCommands()) {
       AddCommand(std::move(body));
     }
     OpenDueOccurrences();
@@ -87,15 +87,17 @@
   Settle();
 }
 
-void WorkCore::OnMachineList(std::vector<fleet::Machine>, Moment moment) {
+void WorkCore::OnMachineList(std::vector<fleet::Machine> machines,
+                             Moment moment) {
   m_moment = moment;
+  m_machines.OnList(std::move(machines), moment.m_now);
 }
 
 void WorkCore::OnMachineAnswer(const fleet::MachineOrder& order,
                                fleet::MachineAnswer answer, Moment moment) {
   m_moment = moment;
-  m_upkeep.OnAnswer(order, answer, moment.m_now);
-  for (wire::WorkBodyUnion& body : m_upkeep.TakeCommands()) {
+  m_machines.OnAnswer(order, answer, moment.m_now);
+  for (wire::WorkBodyUnion& body : m_machines.TakeCommands()) {
     AddCommand(std::move(body));
   }
   Settle();
@@ -143,7 +145,7 @@
 }
 
 std::vector<fleet::MachineOrder> WorkCore::TakeMachineOrders() {
-  return m_upkeep.TakeOrders();
+  return m_machines.TakeOrders();
 }
 
 std::vector<AdviceRequest> WorkCore::TakeAdviceRequests() {
@@ -206,7 +208,7 @@
   if (led) {
     EventLine(Event::kLeadershipLost).Field("term", m_replica.term());
     m_dispatcher.StopLeading();
-    m_upkeep.StopLeading();
+    m_machines.StopLeading();
     m_advice.Clear();
     FailWaiting();
   }
@@ -277,7 +279,7 @@
           .Field("runners", m_state.runners().size())
           .Field("active_jobs", m_state.active().size());
       m_dispatcher.Lead(m_state.epoch(), m_moment.m_now);
-      m_upkeep.Lead(m_state.epoch(), m_moment.m_now);
+      m_machines.Lead(m_state.epoch(), m_moment.m_now);
     }
     m_dispatcher.OnApplied(applied, m_moment.m_now);
     m_plan_wanted = true;
@@ -334,10 +336,10 @@
   input.m_now_ms = m_moment.m_wall_ms;
   input.m_is_usable = [this](const std::string& runner) {
     return m_dispatcher.IsUsable(runner, m_moment.m_now) &&
-           m_upkeep.IsOpen(runner);
+           m_machines.IsOpen(runner);
   };
   input.m_is_due = [this](const std::string& machine) {
-    return m_upkeep.IsDue(machine);
+    return m_machines.IsDue(machine);
   };
   input.m_adviser = &m_advice;
   for (placement::Placement& placement : placement::Plan(input)) {
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -87,4 +87,25 @@
   return ranked;
 }
 
+std::map<std::string, std::int64_t> ReadyMilli(const jobs::WorkState& state,
+                                               std::uint64_t now_ms) {
+  std::map<std::string, std::int64_t> ready;
+  for (const RankedJob& ranked : RankJobs(state, now_ms)) {
+    if (ranked.m_standing == Standing::kHopeless) {
+      continue;
+    }
+    const jobs::Job& job = *ranked.m_job;
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+      for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        const std::uint32_t waiting = occurrence.m_steps[step].m_waiting;
+        if (waiting > 0 && job.IsStepOpen(occurrence, step)) {
+          ready[ranked.m_queue->pool] +=
+              waiting * jobs::RoomOf(*job.m_spec.steps[step]).m_cpu_milli;
+        }
+      }
+    }
+  }
+  return ready;
+}
+
 }  // namespace bronzebarrow::placement
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -32,7 +32,14 @@
       }
       const bool due =
           input.m_is_due && input.m_is_due(runner.m_record.machine);
-      m_pools[runner.m_record.pool].push_back({&runner, runner.Free(), due});
+      const auto lasting = static_cast<std::int64_t>(std::count_if(
+          runner.m_assigned.begin(), runner.m_assigned.end(),
+          [&](const auto& item) {
+            const auto* step = input.m_state.FindStep(item.first);
+            return step != nullptr && step->lasting;
+          }));
+      m_pools[runner.m_record.pool].push_back(
+          {&runner, runner.Free(), due, lasting});
     }
   }
 
@@ -108,6 +115,7 @@
       }
       const std::uint32_t run = spec.gang ? gang_run : task.m_run + 1;
       best->m_free.Add(need, -1);
+      best->m_lasting += spec.lasting ? 1 : 0;
       ++on_runner[best->m_runner->m_record.id];
       ++on_rack[RackOf(*best->m_runner)];
       chosen.emplace_back(best, jobs::RunKey{key, run});
@@ -134,7 +142,8 @@
   }
 
   // Lower is better: data and rack first, then away from the runner of the
-  // last run, then spread over runners and racks, then the most free room.
+  // last run. Tasks that last go where others do, one of a step each, so that
+  // the remaining machines are free to change their pool. Then the most room.
   Candidate* Best(const RankedJob& ranked, const jobs::TaskKey& key,
                   const wire::StepSpecT& spec, const jobs::Task& task,
                   const jobs::Room& need,
@@ -142,7 +151,7 @@
                   std::map<std::string, std::uint32_t>& on_rack,
                   std::vector<Candidate>& candidates) {
     using Score = std::tuple<bool, std::int64_t, bool, bool, std::uint32_t,
-                             std::uint32_t, std::int64_t>;
+                             std::int64_t, std::int64_t>;
     Candidate* best = nullptr;
     Score best_score;
     for (Candidate& candidate : candidates) {
@@ -170,7 +179,7 @@
                            task.m_failures > 0 && task.m_runner == id,
                            spreads && candidate.m_is_due,
                            spreads ? Count(on_runner, id) : 0,
-                           spreads ? Count(on_rack, rack) : 0,
+                           spreads ? -candidate.m_lasting : 0,
                            -candidate.m_free.m_cpu_milli};
       if (best == nullptr || score < best_score) {
         best = &candidate;
