--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -92,6 +92,7 @@
   void Order(const std::string& machine, Work& work, Instant now);
   bool IsBack(const std::string& machine, const Work& work, Instant now) const;
   void BalancePools(Moment moment);
+  static void LogPools(const std::vector<placement::PoolLoad>& loads);
   std::vector<placement::PoolLoad> Loads(Moment moment);
   void Record(std::uint64_t wave, const std::string& machine, bool done,
               bool skipped);
@@ -109,6 +110,7 @@
   std::int64_t m_machine_milli = 0;  // Processor of the largest machine.
   Instant m_next_balance;
   Instant m_next_list;
+  Instant m_next_log;
   std::vector<fleet::MachineOrder> m_orders;
   std::vector<wire::WorkBodyUnion> m_commands;
 };
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -16,6 +16,7 @@
 constexpr std::uint32_t kAtWork = 100;
 // A machine may be moved while its short tasks hold at most this part of it.
 constexpr std::int64_t kMovableShare = 4;
+constexpr Duration kLogInterval = Millis(500);
 // A machine without a runner is back this long after its upkeep should end.
 constexpr Duration kReturnMargin = Millis(500);
 
@@ -439,9 +440,27 @@
   return result;
 }
 
+void MachinePlanner::LogPools(const std::vector<placement::PoolLoad>& loads) {
+  constexpr std::int64_t kMilli = 1000;
+  for (const placement::PoolLoad& load : loads) {
+    EventLine(Event::kSummary)
+        .Field("pool", load.m_pool)
+        .Field("machines", load.m_machines)
+        .Field("used_cores", load.m_used_milli / kMilli)
+        .Field("ready_cores", load.m_ready_milli / kMilli)
+        .Field("movable", load.m_movable.size())
+        .Field("calm_ms", load.m_calm_ms);
+  }
+}
+
 void MachinePlanner::BalancePools(Moment moment) {
+  std::vector<placement::PoolLoad> loads = Loads(moment);
+  if (moment.m_now >= m_next_log) {
+    m_next_log = moment.m_now + kLogInterval;
+    LogPools(loads);
+  }
   for (const placement::PoolMove& move :
-       placement::Balance(Loads(moment), m_options.m_balance)) {
+       placement::Balance(std::move(loads), m_options.m_balance)) {
     Work& work = Begin(move.m_machine, RunnerOf(move.m_machine), moment.m_now);
     work.m_action = fleet::MachineAction::kMove;
     work.m_pool = move.m_to;
