Wait per machine after a change of owners; leave a stalled disk; free busy machines

Change: any machine without lasting tasks is movable while the rest of its pool has room; each order is recorded first, so every member knows when a machine was last ordered; a leader offers its lead after 300 ms without its disk. Test: LeaderLeavesAStalledDisk; the random runs stall disks, too.

--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -25,6 +25,7 @@
   bool m_changed = false;  // The command had an effect.
   JobId m_job = 0;         // The job it touched, if one.
   std::string m_runner;    // The runner it touched, if one.
+  std::string m_machine;   // The machine it touched, if one.
   /** Runs that became assigned. */
   std::vector<RunKey> m_assigned;
   /** Runs known to have ended through this command. */
@@ -83,6 +84,7 @@
   void StartUpkeep(const wire::WorkBodyUnion& body, Applied& applied);
   void RecordUpkeep(const wire::WorkBodyUnion& body, Applied& applied);
   void ForgetJobs(const wire::WorkBodyUnion& body, Applied& applied);
+  void RecordMove(const wire::WorkBodyUnion& body, Applied& applied);
 
   void EndRun(const RunKey& run, const std::string& runner, wire::EndKind how,
               const std::string& checkpoint, Applied& applied);
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -22,7 +22,7 @@
 
 struct MachineOptions {
   std::string m_holder;  // Name under which orders are sent.
-  /** Pause after a change of owners before the first order. */
+  /** Pause between orders of two owners for one machine. */
   Duration m_handover = Millis(3300);
   /** How long a machine's short tasks may finish before it goes down. */
   Duration m_drain = Millis(2500);
@@ -30,7 +30,7 @@
   Duration m_upkeep = Millis(2000);
   Duration m_retry = Millis(400);
   /** A move is given up when its machine is not empty after this. */
-  Duration m_max_move_drain = Millis(1500);
+  Duration m_max_move_drain = Millis(3000);
   /** How often pools are balanced, and the platform's list is read. */
   Duration m_balance_interval = Millis(100);
   Duration m_list_interval = Millis(10'000);
@@ -50,6 +50,8 @@
   void StopLeading();
   /** @param plan_out whether assignments are on their way to the log */
   void Tick(Moment moment, bool plan_out);
+  /** Every member notes commands for machines, to lead after the owner. */
+  void OnApplied(const jobs::Applied& applied, Instant now);
   void OnList(std::vector<fleet::Machine> machines, Instant now);
   void OnAnswer(const fleet::MachineOrder& order, fleet::MachineAnswer answer,
                 Instant now);
@@ -64,7 +66,12 @@
   bool TakeListWish(Instant now);
 
  private:
-  enum class Phase { kDraining, kOrdering, kDown };
+  enum class Phase { kDraining, kRecording, kOrdering, kDown };
+  /** The last order for a machine that the log knows of. */
+  struct LastOrder {
+    std::uint64_t m_epoch = 0;
+    Instant m_heard;
+  };
   struct Work {
     fleet::MachineAction m_action = fleet::MachineAction::kUpkeep;
     std::uint64_t m_wave = 0;    // Of an upkeep.
@@ -74,6 +81,7 @@
     Instant m_since;
     Instant m_next_try;
     bool m_order_out = false;
+    bool m_ordered = false;  // Sent at least once.
     std::string m_runner;  // That is to go; empty when not known.
     std::uint64_t m_born_ms = 0;
   };
@@ -88,6 +96,7 @@
               Instant now);
   /** @return whether the work is over. */
   bool Advance(const std::string& machine, Work& work, Instant now);
+  bool MayOrder(const std::string& machine) const;
   bool Drain(const std::string& machine, Work& work, Instant now);
   void Order(const std::string& machine, Work& work, Instant now);
   bool IsBack(const std::string& machine, const Work& work, Instant now) const;
@@ -105,6 +114,7 @@
   Instant m_now;  // Of the last tick.
   std::map<std::string, Work> m_work;  // By machine.
   std::set<std::string> m_closed;      // Runners that get no new work.
+  std::map<std::string, LastOrder> m_last_orders;  // Kept by every member.
   std::map<std::string, fleet::Machine> m_listed;  // As last read or moved.
   std::map<std::string, Instant> m_last_short;     // Pools that lacked room.
   std::int64_t m_machine_milli = 0;  // Processor of the largest machine.
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -74,7 +74,7 @@
   // Actions.
   std::vector<consensus::Outgoing> TakePeerMessages();
   bool HasBatch() const { return m_replica.HasBatch(); }
-  consensus::DurableBatchOut TakeBatch() { return m_replica.TakeBatch(); }
+  consensus::DurableBatchOut TakeBatch(Instant now);
   std::vector<ReplyOut> TakeReplies();
   std::vector<runs::RunnerCall> TakeRunnerCalls();
   std::vector<fleet::MachineOrder> TakeMachineOrders();
@@ -132,6 +132,7 @@
 
   void Settle();
   void NoteRole();
+  void LeaveStalledDisk();
   void ApplyCommitted();
   void ApplyEntry(const wire::LogEntryT& entry);
   void CompactIfLong();
@@ -149,6 +150,8 @@
   MachinePlanner m_machines;
   AdviceBook m_advice;
   Moment m_moment;  // Of the event being handled.
+  std::optional<Instant> m_batch_since;  // A batch is being synced.
+  Instant m_next_offer;
   std::uint64_t m_applied_index = 0;
   std::uint64_t m_last_compacted = 0;
   std::uint64_t m_last_term = 0;
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -28,6 +28,7 @@
       {WorkBody::StartUpkeep, &WorkState::StartUpkeep},
       {WorkBody::RecordUpkeep, &WorkState::RecordUpkeep},
       {WorkBody::ForgetJobs, &WorkState::ForgetJobs},
+      {WorkBody::RecordMove, &WorkState::RecordMove},
   };
   return kHandlers;
 }
@@ -388,6 +389,7 @@
 void WorkState::RecordUpkeep(const wire::WorkBodyUnion& body,
                              Applied& applied) {
   const wire::RecordUpkeepT& record = *body.AsRecordUpkeep();
+  applied.m_machine = record.machine;
   const auto wave = m_waves.find(record.wave);
   if (wave == m_waves.end()) {
     return;
@@ -403,6 +405,12 @@
   applied.m_changed = true;
 }
 
+// Nothing but the machine's name: every member notes when it heard of it.
+void WorkState::RecordMove(const wire::WorkBodyUnion& body, Applied& applied) {
+  applied.m_machine = body.AsRecordMove()->machine;
+  applied.m_changed = true;
+}
+
 void WorkState::ForgetJobs(const wire::WorkBodyUnion& body, Applied& applied) {
   for (const JobId id : body.AsForgetJobs()->jobs) {
     const auto job = m_jobs.find(id);
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -14,8 +14,6 @@
 // progress within this time: a hold answers every second at least.
 constexpr Duration kFreshList = Millis(2500);
 constexpr std::uint32_t kAtWork = 100;
-// A machine may be moved while its short tasks hold at most this part of it.
-constexpr std::int64_t kMovableShare = 4;
 constexpr Duration kLogInterval = Millis(500);
 // A machine without a runner is back this long after its upkeep should end.
 constexpr Duration kReturnMargin = Millis(500);
@@ -26,7 +24,7 @@
   StopLeading();
   m_epoch = epoch;
   m_led_since = now;
-  m_next_list = now + m_options.m_handover;
+  m_next_list = now;
   m_next_balance = m_next_list;
 }
 
@@ -147,6 +145,25 @@
       .Field("step", skipped ? "skipped" : done ? "done" : "ordered");
 }
 
+void MachinePlanner::OnApplied(const jobs::Applied& applied, Instant now) {
+  if (applied.m_machine.empty()) {
+    return;
+  }
+  m_last_orders[applied.m_machine] = {m_state.epoch(), now};
+  const auto work = m_work.find(applied.m_machine);
+  if (work != m_work.end() && work->second.m_phase == Phase::kRecording &&
+      m_epoch == m_state.epoch()) {
+    work->second.m_phase = Phase::kOrdering;
+  }
+}
+
+// Owners must not take turns with one machine within the platform's lease.
+bool MachinePlanner::MayOrder(const std::string& machine) const {
+  const auto last = m_last_orders.find(machine);
+  return last == m_last_orders.end() || last->second.m_epoch == m_epoch ||
+         m_now >= last->second.m_heard + m_options.m_handover;
+}
+
 bool MachinePlanner::TakeListWish(Instant now) {
   if (m_epoch == 0 || now < m_next_list) {
     return false;
@@ -167,7 +184,7 @@
 void MachinePlanner::Tick(Moment moment, bool plan_out) {
   const Instant now = moment.m_now;
   m_now = now;
-  if (m_epoch == 0 || now < m_led_since + m_options.m_handover) {
+  if (m_epoch == 0) {
     return;
   }
   for (const auto& [number, wave] : m_state.waves()) {
@@ -176,7 +193,7 @@
         // Ordered by an earlier owner: the same order is carried out once.
         Work& work = Begin(machine, nullptr, now);
         work.m_wave = number;
-        work.m_phase = Phase::kOrdering;
+        work.m_phase = Phase::kRecording;
       }
     }
     if (!wave.IsCompleted()) {
@@ -265,23 +282,30 @@
         state == jobs::UpkeepState::kSkipped) {
       return true;
     }
-    if (work.m_phase == Phase::kOrdering &&
-        state != jobs::UpkeepState::kOrdered) {
-      return false;  // The log does not know of the order yet.
-    }
   }
   switch (work.m_phase) {
     case Phase::kDraining:
-      if (Drain(machine, work, now)) {
-        work.m_phase = Phase::kOrdering;
-        if (is_upkeep) {
-          Record(work.m_wave, machine, false, false);
-        }
+      if (MayOrder(machine) && Drain(machine, work, now)) {
+        work.m_phase = Phase::kRecording;
+        work.m_next_try = now;
       } else if (!is_upkeep &&
                  now >= work.m_since + m_options.m_max_move_drain) {
         return true;
       }
       return false;
+    case Phase::kRecording:
+      if (now >= work.m_next_try && MayOrder(machine)) {
+        work.m_next_try = now + m_options.m_retry * 2;
+        if (is_upkeep) {
+          Record(work.m_wave, machine, false, false);
+        } else {
+          wire::RecordMoveT record;
+          record.machine = machine;
+          record.pool = work.m_pool;
+          m_commands.emplace_back().Set(std::move(record));
+        }
+      }
+      return false;
     case Phase::kOrdering:
       Order(machine, work, now);
       return false;
@@ -339,9 +363,10 @@
 
 void MachinePlanner::Order(const std::string& machine, Work& work,
                            Instant now) {
-  if (work.m_order_out || now < work.m_next_try) {
+  if (work.m_order_out || (work.m_ordered && now < work.m_next_try)) {
     return;
   }
+  work.m_ordered = true;
   fleet::MachineOrder order;
   order.m_action = work.m_action;
   order.m_machine = machine;
@@ -399,8 +424,7 @@
         });
     if (!has_lasting && !runner.m_record.machine.empty() &&
         !m_work.contains(runner.m_record.machine) &&
-        runner.m_used.m_cpu_milli * kMovableShare <=
-            runner.m_record.cpu_milli) {
+        MayOrder(runner.m_record.machine)) {
       load->second.m_movable.push_back(
           {runner.m_record.machine, runner.m_used.m_cpu_milli});
     }
@@ -415,7 +439,8 @@
     const auto load = loads.find(machine.m_pool);
     if (load != loads.end() && load->second.m_standby &&
         machine.m_state == fleet::MachineState::kUp &&
-        !m_work.contains(name) && RunnerOf(name) == nullptr) {
+        !m_work.contains(name) && RunnerOf(name) == nullptr &&
+        MayOrder(name)) {
       load->second.m_movable.push_back({name, 0});
     }
   }
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -278,7 +278,7 @@
     return;
   }
   auto batch =
-      std::make_shared<consensus::DurableBatchOut>(m_core->TakeBatch());
+      std::make_shared<consensus::DurableBatchOut>(m_core->TakeBatch(Now()));
   asio::post(m_disk, [self = shared_from_this(), batch] {
     const auto written = Capture<bool>([&]() -> Result<bool> {
       BOOST_LEAF_CHECK(self->m_store->Write(*batch));
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -19,6 +19,8 @@
 // runners become usable again and jobs change their standing.
 constexpr Duration kPlanInterval = Millis(100);
 constexpr Duration kSecond = Millis(1000);
+// A sync takes 9 ms on the users' machines; thirty times that is a fault.
+constexpr Duration kDiskStall = Millis(300);
 // A job whose occurrences are due is opened this many at a time.
 constexpr std::uint32_t kMaxOpenAhead = 8;
 
@@ -41,6 +43,7 @@
   m_replica.Tick(moment.m_now);
   if (m_dispatcher.leading()) {
     m_replica.RequestProof();
+    LeaveStalledDisk();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
       m_machines.Tick(moment, !m_assigning.empty());
@@ -65,8 +68,31 @@
   Settle();
 }
 
+consensus::DurableBatchOut WorkCore::TakeBatch(Instant now) {
+  m_batch_since = now;
+  return m_replica.TakeBatch();
+}
+
+// A leader that waits for its disk applies nothing, while the others could
+// commit without it.
+void WorkCore::LeaveStalledDisk() {
+  const Instant now = m_moment.m_now;
+  if (!m_batch_since || now < *m_batch_since + kDiskStall ||
+      now < m_next_offer) {
+    return;
+  }
+  m_next_offer = now + kDiskStall;
+  const bool offered = m_replica.OfferLeadership();
+  EventLine(Event::kLeadershipOffered, Severity::kWarning)
+      .Field("asked", offered)
+      .Field("cause", "the disk does not answer")
+      .Field("age_ms", std::chrono::duration_cast<Millis>(now - *m_batch_since)
+                           .count());
+}
+
 void WorkCore::BatchSynced(Moment moment) {
   m_moment = moment;
+  m_batch_since.reset();
   m_replica.BatchSynced(moment.m_now);
   Settle();
 }
@@ -268,6 +294,7 @@
   }
   for (const auto& command : batch->commands) {
     const jobs::Applied applied = m_state.Apply(*command, entry.index);
+    m_machines.OnApplied(applied, m_moment.m_now);
     if (!own) {
       continue;
     }
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -287,8 +287,9 @@
     }
   }
   if (!member.m_batch && member.m_core->HasBatch()) {
-    member.m_batch = member.m_core->TakeBatch();
-    At(m_now + Delay(m_faults.m_max_sync), [this, index, life] {
+    member.m_batch = member.m_core->TakeBatch(m_now);
+    At(std::max(m_now + Delay(m_faults.m_max_sync), member.m_stalled_until),
+       [this, index, life] {
       Member& synced = m_members[index];
       if (synced.m_life != life || !synced.m_batch) {
         return;
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -44,6 +44,9 @@
   void LoseDisk(std::size_t member);
   void Freeze(std::size_t member, bool frozen);
   void Cut(std::size_t a, std::size_t b, bool cut);
+  void StallDisk(std::size_t member, Duration span) {
+    m_members[member].m_stalled_until = m_now + span;
+  }
   /** Cuts a runner off from all members; it runs on. */
   void CutRunner(std::size_t runner, bool cut);
   /** The runner crashes and starts again under its id with a new birth. */
@@ -85,6 +88,7 @@
     std::uint64_t m_life = 0;  // Events of earlier lives are dropped.
     bool m_frozen = false;
     Instant m_next_tick;
+    Instant m_stalled_until;  // Syncs end no sooner.
   };
   struct Caller {
     jobs::JobId m_job = 0;
--- a/tests/work_core_test.cc
+++ b/tests/work_core_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(CalmGroupFinishesEveryJob);
   CPPUNIT_TEST(RandomFaultsBreakNoPromise);
   CPPUNIT_TEST(LeaderChangeResumesWithinTheLease);
+  CPPUNIT_TEST(LeaderLeavesAStalledDisk);
   CPPUNIT_TEST(SilentRunnerIsGivenUpWithinItsLease);
   CPPUNIT_TEST(WaveKeepsBudgetsWhileARunnerIsDark);
   CPPUNIT_TEST_SUITE_END();
@@ -63,6 +64,28 @@
     }
   }
 
+  // A leader whose disk hung kept the lead and applied nothing until it woke.
+  void LeaderLeavesAStalledDisk() {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      FakeWorkGroup group(kMembers, kRunners, seed);
+      group.HealAll();
+      group.Run(Millis(5000));
+      const auto leader = group.Leader();
+      CPPUNIT_ASSERT(leader);
+      group.StallDisk(*leader, Millis(8000));
+      for (int i = 0; i < 20; ++i) {
+        group.Submit();
+        group.Run(Millis(100));
+      }
+      const auto next = group.Leader();
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                             next && *next != *leader);
+      group.Run(Millis(12'000));
+      CPPUNIT_ASSERT_EQUAL(std::string(), group.broken());
+      CheckAllEnded(group, seed);
+    }
+  }
+
   // Holds that were sent to a silent runner went on extending the bound of its
   // lease, so its tasks were never placed anew.
   void SilentRunnerIsGivenUpWithinItsLease() {
@@ -158,6 +181,9 @@
       case 5:
         group.CancelSome();
         break;
+      case 7:
+        group.StallDisk(leader.value_or(member), Millis(2500));
+        break;
       case 6: {
         // A lost disk counts until the member is back as a voter, so one at
         // a time, in a group that is otherwise whole.
