Pack short tasks; take idle, then resting, then busy machines; wait for moving ones

Ruled out: orders answered busy (none), a wrong state of resting machines (the list shows them as up). Change: a short task goes to the fullest runner that fits; Balance prefers idle machines, then resting ones, then busy ones; a machine on its way may be ordered again after the time of a move.

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -29,6 +29,8 @@
   /** A machine that was ordered down and is there after this is back. */
   Duration m_upkeep = Millis(2000);
   Duration m_retry = Millis(400);
+  /** Time that a machine needs to change its pool. */
+  Duration m_move = Millis(1500);
   /** A move is given up when its machine is not empty after this. */
   Duration m_max_move_drain = Millis(3000);
   /** How often pools are balanced, and the platform's list is read. */
@@ -116,6 +118,7 @@
   std::set<std::string> m_closed;      // Runners that get no new work.
   std::map<std::string, LastOrder> m_last_orders;  // Kept by every member.
   std::map<std::string, fleet::Machine> m_listed;  // As last read or moved.
+  std::map<std::string, Instant> m_not_before;     // Machines on their way.
   std::map<std::string, Instant> m_last_short;     // Pools that lacked room.
   std::int64_t m_machine_milli = 0;  // Processor of the largest machine.
   Instant m_next_balance;
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -33,6 +33,7 @@
   m_work.clear();
   m_closed.clear();
   m_listed.clear();
+  m_not_before.clear();
   m_last_short.clear();
   m_orders.clear();
   m_commands.clear();
@@ -175,9 +176,20 @@
 void MachinePlanner::OnList(std::vector<fleet::Machine> machines,
                             Instant now) {
   m_listed.clear();
+  std::map<std::pair<std::string, fleet::MachineState>, int> counts;
   for (fleet::Machine& machine : machines) {
+    ++counts[{machine.m_pool, machine.m_state}];
+    if (machine.m_state != fleet::MachineState::kUp) {
+      m_not_before[machine.m_name] = now + m_options.m_move;
+    }
     m_listed[machine.m_name] = std::move(machine);
   }
+  for (const auto& [key, count] : counts) {
+    EventLine(Event::kSummary)
+        .Field("pool", key.first)
+        .Field("listed", count)
+        .Field("state", NameOf(key.second));
+  }
   m_next_balance = std::min(m_next_balance, now);
 }
 
@@ -438,8 +450,7 @@
   for (const auto& [name, machine] : m_listed) {
     const auto load = loads.find(machine.m_pool);
     if (load != loads.end() && load->second.m_standby &&
-        machine.m_state == fleet::MachineState::kUp &&
-        !m_work.contains(name) && RunnerOf(name) == nullptr &&
+        moment.m_now >= m_not_before[name] && !m_work.contains(name) && RunnerOf(name) == nullptr &&
         MayOrder(name)) {
       load->second.m_movable.push_back({name, 0});
     }
@@ -519,7 +530,7 @@
       if (!is_upkeep) {
         m_listed[order.m_machine].m_name = order.m_machine;
         m_listed[order.m_machine].m_pool = order.m_pool;
-        m_listed[order.m_machine].m_state = fleet::MachineState::kUp;
+        m_not_before[order.m_machine] = now + m_options.m_move;
       }
       if (!work.m_runner.empty()) {
         wire::RemoveRunnerT remove;
@@ -543,7 +554,7 @@
     case fleet::MachineAnswer::kBusy:
     case fleet::MachineAnswer::kFenced:
       if (!is_upkeep) {
-        m_listed.erase(order.m_machine);
+        m_not_before[order.m_machine] = now + m_options.m_move;
         m_closed.erase(work.m_runner);
         m_work.erase(found);
       }
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -143,7 +143,8 @@
 
   // Lower is better: data and rack first, then away from the runner of the
   // last run. Tasks that last go where others do, one of a step each, so that
-  // the remaining machines are free to change their pool. Then the most room.
+  // the remaining machines are free to change their pool. Then the fullest that
+  // fits, so that others run empty and can leave.
   Candidate* Best(const RankedJob& ranked, const jobs::TaskKey& key,
                   const wire::StepSpecT& spec, const jobs::Task& task,
                   const jobs::Room& need,
@@ -180,7 +181,7 @@
                            spreads && candidate.m_is_due,
                            spreads ? Count(on_runner, id) : 0,
                            spreads ? -candidate.m_lasting : 0,
-                           -candidate.m_free.m_cpu_milli};
+                           candidate.m_free.m_cpu_milli};
       if (best == nullptr || score < best_score) {
         best = &candidate;
         best_score = score;
--- a/src/placement/pool_balance.cc
+++ b/src/placement/pool_balance.cc
@@ -20,6 +20,22 @@
                   options.m_min_machines);
 }
 
+// @return the pool with the most machines to spare; null when none has one.
+PoolLoad* Donor(const std::vector<PoolLoad*>& donors,
+                const BalanceOptions& options, bool only_idle) {
+  PoolLoad* best = nullptr;
+  std::int64_t best_spare = 0;
+  for (PoolLoad* const donor : donors) {
+    const std::int64_t spare = donor->m_machines - Needed(*donor, options);
+    if (spare > best_spare && !donor->m_movable.empty() &&
+        (!only_idle || donor->m_movable.back().m_used_milli == 0)) {
+      best = donor;
+      best_spare = spare;
+    }
+  }
+  return best;
+}
+
 }  // namespace
 
 std::vector<PoolMove> Balance(std::vector<PoolLoad> pools,
@@ -57,21 +73,16 @@
   for (PoolLoad* const pool : short_pools) {
     while (Needed(*pool, options) > pool->m_machines &&
            moves.size() < options.m_max_moves) {
-      // Machines that idle in another pool cost already; resting ones do not.
-      PoolLoad* best = nullptr;
-      for (PoolLoad* const donor : donors) {
-        const std::int64_t spare =
-            donor->m_machines - Needed(*donor, options);
-        if (spare > 0 && !donor->m_movable.empty() &&
-            (best == nullptr ||
-             spare > best->m_machines - Needed(*best, options))) {
-          best = donor;
-        }
-      }
+      // Machines that idle in another pool cost already; resting ones do not,
+      // but come sooner than those that must finish their tasks first.
+      PoolLoad* best = Donor(donors, options, true);
       if (best == nullptr && standby != nullptr &&
           !standby->m_movable.empty()) {
         best = standby;
       }
+      if (best == nullptr) {
+        best = Donor(donors, options, false);
+      }
       if (best == nullptr) {
         break;
       }
@@ -84,7 +95,9 @@
   for (PoolLoad* const donor : donors) {
     while (donor->m_calm_ms >= options.m_rest_after_ms &&
            donor->m_machines > Needed(*donor, options) &&
-           !donor->m_movable.empty() && moves.size() < options.m_max_moves) {
+           !donor->m_movable.empty() &&
+           donor->m_movable.back().m_used_milli == 0 &&
+           moves.size() < options.m_max_moves) {
       take(*donor, *standby);
     }
   }
