Empty a machine before an inherited order; close machines, not lives

Cause: a new owner repeated recorded orders at once. Ruled out: two stops in one tick; a stale listing (both are tested). Change: inherited orders begin with emptying; any life of a machine that has an order is closed to work until the order was carried out.

--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -138,6 +138,7 @@
   void FollowLeader(const ReplicaId& leader, Instant now);
   void StartPreVote(Instant now);
   void StartElection(Instant now);
+  void BeginTerm(Instant now, bool transfer);
   void CheckVotes(Instant now);
   void BecomeLeader(Instant now);
   void CheckQuorumContact(Instant now);
--- a/include/bronzebarrow/net/frame_dialer.h
+++ b/include/bronzebarrow/net/frame_dialer.h
@@ -26,7 +26,7 @@
   using OnFrame = std::function<void(std::unique_ptr<wire::FrameT>)>;
   using OnConnect = std::function<void()>;
 
-  FrameDialer(boost::asio::any_io_executor executor, Options options);
+  FrameDialer(const boost::asio::any_io_executor& executor, Options options);
 
   void Start(OnFrame on_frame, OnConnect on_connect);
   void Stop();
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +98,8 @@
   /** @return whether the work is over. */
   bool Advance(const std::string& machine, Work& work, Instant now);
   bool MayOrder(const std::string& machine) const;
+  /** @return whether the work began with this very life of its machine. */
+  static bool IsLife(const Work& work, const jobs::Runner& runner);
   bool Drain(const std::string& machine, Work& work, Instant now);
   void Order(const std::string& machine, Work& work, Instant now);
   bool IsBack(const std::string& machine, const Work& work, Instant now) const;
@@ -113,9 +114,8 @@
   MachineOptions m_options;
   std::uint64_t m_epoch = 0;
   Instant m_led_since;
-  Instant m_now;                       // Of the last tick.
-  std::map<std::string, Work> m_work;  // By machine.
-  std::set<std::string> m_closed;      // Runners that get no new work.
+  Instant m_now;                                   // Of the last tick.
+  std::map<std::string, Work> m_work;              // By machine.
   std::map<std::string, LastOrder> m_last_orders;  // Kept by every member.
   std::map<std::string, fleet::Machine> m_listed;  // As last read or moved.
   std::map<std::string, Instant> m_not_before;     // Machines on their way.
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -48,16 +48,19 @@
 }
 
 void Replica::StartElection(Instant now) {
-  if (!m_role.Process(RoleEvent::kPreVoteWon)) {
-    return;
+  if (m_role.Process(RoleEvent::kPreVoteWon)) {
+    BeginTerm(now, false);
   }
+}
+
+void Replica::BeginTerm(Instant now, bool transfer) {
   ++m_term;
   m_vote = id();
   m_leader.reset();
   m_hard_dirty = true;
   m_votes = {id()};
   ResetElectionDeadline(now);
-  BroadcastVoteRequest(m_term, false, false);
+  BroadcastVoteRequest(m_term, false, transfer);
 }
 
 void Replica::OnTransferLead(const ReplicaId& from, std::uint64_t term,
@@ -67,13 +70,7 @@
     return;
   }
   m_role.Process(RoleEvent::kPreVoteWon);
-  ++m_term;
-  m_vote = id();
-  m_leader.reset();
-  m_hard_dirty = true;
-  m_votes = {id()};
-  ResetElectionDeadline(now);
-  BroadcastVoteRequest(m_term, false, true);
+  BeginTerm(now, true);
 }
 
 bool Replica::OfferLeadership() {
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -15,7 +15,7 @@
 
 const std::map<wire::WorkBody, WorkState::Handler>& WorkState::Handlers() {
   using wire::WorkBody;
-  static const std::map<WorkBody, Handler> kHandlers = {
+  static const std::map<WorkBody, Handler> handlers = {
       {WorkBody::TakeOwnership, &WorkState::TakeOwnership},
       {WorkBody::PutConfig, &WorkState::PutConfig},
       {WorkBody::AcceptJob, &WorkState::AcceptJob},
@@ -30,7 +30,7 @@
       {WorkBody::ForgetJobs, &WorkState::ForgetJobs},
       {WorkBody::RecordMove, &WorkState::RecordMove},
   };
-  return kHandlers;
+  return handlers;
 }
 
 Applied WorkState::Apply(const wire::WorkCommandT& command,
--- a/src/net/frame_dialer.cc
+++ b/src/net/frame_dialer.cc
@@ -21,9 +21,8 @@
 
 }  // namespace
 
-FrameDialer::FrameDialer(asio::any_io_executor executor, Options options)
-    : m_executor(asio::make_strand(std::move(executor))),
-      m_options(std::move(options)) {}
+FrameDialer::FrameDialer(const asio::any_io_executor& executor, Options options)
+    : m_executor(asio::make_strand(executor)), m_options(std::move(options)) {}
 
 void FrameDialer::Start(OnFrame on_frame, OnConnect on_connect) {
   m_on_frame = std::move(on_frame);
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -31,7 +31,6 @@
 void MachinePlanner::StopLeading() {
   m_epoch = 0;
   m_work.clear();
-  m_closed.clear();
   m_listed.clear();
   m_not_before.clear();
   m_last_short.clear();
@@ -47,8 +46,23 @@
   return std::exchange(m_commands, {});
 }
 
-bool MachinePlanner::IsOpen(const std::string& runner) const {
-  return !m_closed.contains(runner);
+// A machine that is to go down takes no work, whichever life of it is there;
+// one that went down does, but for the life that is known to have ended.
+bool MachinePlanner::IsOpen(const std::string& id) const {
+  const jobs::Runner* const runner = m_state.FindRunner(id);
+  if (runner == nullptr) {
+    return false;
+  }
+  const auto work = m_work.find(runner->m_record.machine);
+  if (work == m_work.end()) {
+    return true;
+  }
+  return work->second.m_phase == Phase::kDown && !IsLife(work->second, *runner);
+}
+
+bool MachinePlanner::IsLife(const Work& work, const jobs::Runner& runner) {
+  return runner.m_record.id == work.m_runner &&
+         runner.m_record.born_ms == work.m_born_ms;
 }
 
 const jobs::Runner* MachinePlanner::RunnerOf(const std::string& machine) const {
@@ -204,10 +218,9 @@
   for (const auto& [number, wave] : m_state.waves()) {
     for (const auto& [machine, state] : wave.m_machines) {
       if (state == jobs::UpkeepState::kOrdered && !m_work.contains(machine)) {
-        // Ordered by an earlier owner: the same order is carried out once.
-        Work& work = Begin(machine, nullptr, now);
-        work.m_wave = number;
-        work.m_phase = Phase::kRecording;
+        // Recorded by an earlier owner; whether it was sent is not known. The
+        // platform carries it out once, so it is emptied and ordered again.
+        Begin(machine, RunnerOf(machine), now).m_wave = number;
       }
     }
     if (!wave.IsCompleted()) {
@@ -221,7 +234,6 @@
   for (auto work = m_work.begin(); work != m_work.end();) {
     work->second.m_settled = work->second.m_settled || !plan_out;
     if (Advance(work->first, work->second, now)) {
-      m_closed.erase(work->second.m_runner);
       work = m_work.erase(work);
     } else {
       ++work;
@@ -239,7 +251,6 @@
   if (runner != nullptr) {
     work.m_runner = runner->m_record.id;
     work.m_born_ms = runner->m_record.born_ms;
-    m_closed.insert(work.m_runner);
   }
   return work;
 }
@@ -350,15 +361,14 @@
   }
   const jobs::Runner* const runner = m_state.FindRunner(work.m_runner);
   if (runner == nullptr || runner->m_record.born_ms != work.m_born_ms) {
-    m_closed.erase(work.m_runner);
     work.m_runner.clear();
+    work.m_born_ms = 0;
     const jobs::Runner* const next = RunnerOf(machine);
     if (next == nullptr) {
       return true;
     }
     work.m_runner = next->m_record.id;  // Another life of it has begun.
     work.m_born_ms = next->m_record.born_ms;
-    m_closed.insert(work.m_runner);
     work.m_settled = false;
     return false;
   }
@@ -406,12 +416,13 @@
            work.m_runner.empty() &&
            now >= work.m_since + m_options.m_upkeep + kReturnMargin;
   }
-  const bool is_old = runner->m_record.id == work.m_runner &&
-                      runner->m_record.born_ms == work.m_born_ms;
+  const bool is_old = IsLife(work, *runner);
   if (work.m_action == fleet::MachineAction::kMove) {
     return !is_old && runner->m_record.pool == work.m_pool;
   }
-  return !is_old && now >= work.m_since + m_options.m_upkeep;
+  // The life that was removed is back: its upkeep was over before the order.
+  return now >= work.m_since + m_options.m_upkeep +
+                    (is_old ? kReturnMargin : Duration::zero());
 }
 
 std::vector<placement::PoolLoad> MachinePlanner::Loads(Moment moment) {
@@ -423,8 +434,8 @@
   }
   for (const auto& [id, runner] : m_state.runners()) {
     const auto load = loads.find(runner.m_record.pool);
-    if (load == loads.end() || runner.m_record.draining ||
-        m_closed.contains(id) || !m_dispatcher.IsUsable(id, moment.m_now)) {
+    if (load == loads.end() || runner.m_record.draining || !IsOpen(id) ||
+        !m_dispatcher.IsUsable(id, moment.m_now)) {
       continue;
     }
     ++load->second.m_machines;
@@ -549,7 +560,6 @@
         Record(order.m_wave, order.m_machine, false, true);
       } else {
         m_listed.erase(order.m_machine);
-        m_closed.erase(work.m_runner);
         m_work.erase(found);
       }
       break;
@@ -557,7 +567,6 @@
     case fleet::MachineAnswer::kFenced:
       if (!is_upkeep) {
         m_not_before[order.m_machine] = now + m_options.m_move;
-        m_closed.erase(work.m_runner);
         m_work.erase(found);
       }
       break;
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -17,7 +17,7 @@
 const std::map<wire::CallBody, WorkCore::CallHandler>&
 WorkCore::CallHandlers() {
   using wire::CallBody;
-  static const std::map<CallBody, CallHandler> kHandlers = {
+  static const std::map<CallBody, CallHandler> handlers = {
       {CallBody::SubmitCall, &WorkCore::Submit},
       {CallBody::ReadJobCall, &WorkCore::ReadJob},
       {CallBody::CancelCall, &WorkCore::Cancel},
@@ -27,7 +27,7 @@
       {CallBody::StartUpkeepCall, &WorkCore::StartUpkeep},
       {CallBody::ReadUpkeepCall, &WorkCore::ReadUpkeep},
   };
-  return kHandlers;
+  return handlers;
 }
 
 void WorkCore::OnCall(CallSource source, const wire::CallT& call,
@@ -178,7 +178,7 @@
   wire::CancelJobT command;
   command.job = *id;
   wire::WorkBodyUnion command_body;
-  command_body.Set(std::move(command));
+  command_body.Set(command);
   Wait(AddCommand(std::move(command_body)), source, call,
        wire::WorkBody::CancelJob);
 }
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -410,7 +410,7 @@
       open.job = id;
       open.up_to = due;
       wire::WorkBodyUnion body;
-      body.Set(std::move(open));
+      body.Set(open);
       AddCommand(std::move(body));
       m_opening.insert(id);
     }
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -24,6 +24,16 @@
       std::chrono::duration_cast<Millis>(duration).count());
 }
 
+std::unique_ptr<wire::RunEndT> MakeEnd(const jobs::RunKey& run,
+                                       wire::EndKind how,
+                                       const std::string& checkpoint) {
+  auto end = std::make_unique<wire::RunEndT>();
+  end->task = std::make_unique<wire::TaskRef>(ToWire(run));
+  end->how = how;
+  end->checkpoint = checkpoint;
+  return end;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(const jobs::WorkState& state, DispatcherOptions options)
@@ -360,11 +370,7 @@
       continue;
     }
     order.m_state = OrderState::kLosing;
-    auto end = std::make_unique<wire::RunEndT>();
-    end->task = std::make_unique<wire::TaskRef>(ToWire(run));
-    end->how = wire::EndKind::Lost;
-    end->checkpoint = order.m_checkpoint;
-    ends.ends.push_back(std::move(end));
+    ends.ends.push_back(MakeEnd(run, wire::EndKind::Lost, order.m_checkpoint));
     EventLine(Event::kRunEnded)
         .Field("task", jobs::TaskText(run.m_task))
         .Field("run", run.m_run)
@@ -554,11 +560,7 @@
     }
     order->second.m_listed = now;
     order->second.m_state = OrderState::kLosing;
-    auto end = std::make_unique<wire::RunEndT>();
-    end->task = std::make_unique<wire::TaskRef>(ToWire(row.m_run));
-    end->how = row.m_how;
-    end->checkpoint = row.m_checkpoint;
-    ends.ends.push_back(std::move(end));
+    ends.ends.push_back(MakeEnd(row.m_run, row.m_how, row.m_checkpoint));
     EventLine(Event::kRunEnded)
         .Field("task", jobs::TaskText(row.m_run.m_task))
         .Field("run", row.m_run.m_run)
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -413,6 +413,17 @@
 void FakeWorkGroup::OnOrder(std::size_t member,
                             const fleet::MachineOrder& order) {
   const std::size_t runner = std::stoul(order.m_machine.substr(8));
+  const std::uint64_t life = m_members[member].m_life;
+  At(m_now + Millis(20), [this, member, life, order] {
+    if (m_members[member].m_life == life && m_members[member].m_core) {
+      m_members[member].m_core->OnMachineAnswer(
+          order, fleet::MachineAnswer::kOk, At());
+      Drain(member);
+    }
+  });
+  if (!m_upkept.insert(runner).second) {
+    return;  // Done before: nothing happens.
+  }
   ++m_upkeeps;
   if (m_down.size() >= m_cap) {
     Break("more machines down than the cap of the wave", {});
@@ -430,14 +441,6 @@
     m_runner_cut[runner] = false;
     Reborn(runner);
   });
-  const std::uint64_t life = m_members[member].m_life;
-  At(m_now + Millis(20), [this, member, life, order] {
-    if (m_members[member].m_life == life && m_members[member].m_core) {
-      m_members[member].m_core->OnMachineAnswer(
-          order, fleet::MachineAnswer::kOk, At());
-      Drain(member);
-    }
-  });
 }
 
 void FakeWorkGroup::Dark(std::size_t runner) {
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -144,7 +144,8 @@
   std::map<jobs::TaskKey, Instant> m_last_at_work;
   std::set<jobs::TaskKey> m_ended_by_order;  // And not at work since.
   std::size_t m_upkeeps = 0;
-  std::set<std::size_t> m_down;  // Runners whose machine is in upkeep.
+  std::set<std::size_t> m_upkept;  // Runners whose upkeep has begun.
+  std::set<std::size_t> m_down;    // Runners whose machine is in upkeep.
   std::uint32_t m_cap = 0;
   std::uint64_t m_next_generation = 2;
   std::uint64_t m_next_call = 1;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -222,7 +222,7 @@
     wire::OpenOccurrencesT open;
     open.job = id;
     open.up_to = 1;
-    Apply(std::move(open), kNowMs);
+    Apply(open, kNowMs);
   }
   void Submit(jobs::JobId id, std::unique_ptr<wire::StepSpecT> step,
               std::uint64_t time_ms) {
--- a/tests/work_core_test.cc
+++ b/tests/work_core_test.cc
@@ -1,6 +1,7 @@
 // The promises to callers under random faults: the real cores, virtual time.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <string>
 
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(LeaderLeavesAStalledDisk);
   CPPUNIT_TEST(SilentRunnerIsGivenUpWithinItsLease);
   CPPUNIT_TEST(WaveKeepsBudgetsWhileARunnerIsDark);
+  CPPUNIT_TEST(WaveGoesOnUnderANewOwner);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -127,6 +129,41 @@
     }
   }
 
+  // A new owner repeated the orders that the log held, though tasks had come to
+  // the machine since, or the order had never left.
+  void WaveGoesOnUnderANewOwner() {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      FakeWorkGroup group(kMembers, kRunners, seed);
+      group.HealAll();
+      group.Run(Millis(5000));
+      for (int i = 0; i < 3; ++i) {
+        group.SubmitLasting(5);
+      }
+      group.Run(Millis(3000));
+      group.StartWave(2);
+      const auto leader = group.Leader();
+      CPPUNIT_ASSERT(leader);
+      // The order after `seed` others is in the log and has not left yet.
+      for (int i = 0; i < 12'000; ++i) {
+        const std::size_t ordered = Ordered(group.state(*leader));
+        if (ordered > group.upkeeps() && ordered > seed % 8) {
+          break;
+        }
+        group.Run(Millis(5));
+      }
+      group.Crash(*leader);
+      group.Run(Millis(4000));
+      group.Restart(*leader);
+      group.Run(Millis(70'000));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                   std::string(), group.broken());
+      const auto next = group.Leader();
+      CPPUNIT_ASSERT_MESSAGE(
+          "seed " + std::to_string(seed) + ": the wave has not ended",
+          next && group.state(*next).waves().at(1).IsCompleted());
+    }
+  }
+
   // Load pattern: the leader dies while tasks run. Nothing may lapse: the
   // lease must outlast the detection, the election and the first hold.
   void LeaderChangeResumesWithinTheLease() {
@@ -211,6 +248,18 @@
     }
   }
 
+  static std::size_t Ordered(const jobs::WorkState& state) {
+    const auto wave = state.waves().find(1);
+    if (wave == state.waves().end()) {
+      return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(wave->second.m_machines.begin(),
+                      wave->second.m_machines.end(), [](const auto& item) {
+                        return item.second != jobs::UpkeepState::kDue;
+                      }));
+  }
+
   static void CheckAllEnded(FakeWorkGroup& group, std::uint64_t seed) {
     const std::string at = "seed " + std::to_string(seed);
     const auto leader = group.Leader();
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -125,7 +125,7 @@
     wire::OpenOccurrencesT open;
     open.job = 1;
     open.up_to = 5;
-    Apply(std::move(open));
+    Apply(open);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2},
                          m_state->FindJob(1)->m_occurrences.size());
     for (std::uint32_t k = 0; k < 2; ++k) {
@@ -305,7 +305,7 @@
       case 4: {
         wire::CancelJobT cancel;
         cancel.job = id;
-        Apply(std::move(cancel));
+        Apply(cancel);
         break;
       }
       default:
