Bound idle connections to runners, and close them when a runner leaves

Cause: on the grown sites the leader kept every idle connection to every life of every runner. Ruled out: calls in flight (each has one connection, a plan has 400 runs at most); sockets of the group (fewer than 50).

--- a/include/bronzebarrow/net/target_pool.h
+++ b/include/bronzebarrow/net/target_pool.h
@@ -7,6 +7,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -43,10 +45,18 @@
   HttpResponse m_response;  // When it was answered.
 };
 
+struct TargetPoolOptions {
+  /** Idle connections kept to one address: starts of a step that come at once. */
+  std::size_t m_max_idle_per_address = 16;
+  /** Idle connections kept to all addresses; a share of the descriptors. */
+  std::size_t m_max_idle = 1024;
+};
+
 class TargetPool {
  public:
-  explicit TargetPool(boost::asio::any_io_executor executor)
-      : m_executor(std::move(executor)) {}
+  explicit TargetPool(boost::asio::any_io_executor executor,
+                      TargetPoolOptions options = {})
+      : m_executor(std::move(executor)), m_options(options) {}
 
   /**
    * @return an idle or new connection, or null; no byte of a request left.
@@ -64,17 +74,32 @@
       TargetConnectionPtr connection, Address address, HttpRequest request,
       Instant deadline);
 
-  /** Gives back a connection on which nothing was sent. */
+  /**
+   * Gives back a connection on which nothing was sent. The connections that
+   * were idle longest are closed where there are too many.
+   */
   void Release(const Address& address, TargetConnectionPtr connection);
   /** Closes idle connections, e.g. siblings of one that went silent. */
   void Retire(const Address& address);
+  std::size_t idle() const;
 
  private:
+  struct Idle {
+    Address m_address;
+    TargetConnectionPtr m_connection;
+  };
+  using IdleList = std::list<Idle>;
+
   TargetConnectionPtr TakeIdle(const Address& address);
+  /** Closes the connection to `address` that was idle longest. */
+  void CloseOldest(const Address& address);
 
   boost::asio::any_io_executor m_executor;
-  std::mutex m_mutex;  // Guards m_idle; a leaf lock.
-  std::map<Address, std::vector<TargetConnectionPtr>> m_idle;
+  TargetPoolOptions m_options;
+  mutable std::mutex m_mutex;  // Guards what follows; a leaf lock.
+  IdleList m_idle;             // By time of release, oldest first.
+  // Places in m_idle by address, oldest first; no list is empty.
+  std::map<Address, std::deque<IdleList::iterator>> m_places;
 };
 
 }  // namespace bronzebarrow::net
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -35,6 +35,7 @@
   Duration m_election_timeout = Millis(600);
   Duration m_heartbeat = Millis(100);
   MachineOptions m_machines;
+  net::TargetPoolOptions m_connections;  // To runners.
 };
 
 /** Runs on one executor that handles one event at a time. */
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -77,6 +77,10 @@
   consensus::DurableBatchOut TakeBatch(Instant now);
   std::vector<ReplyOut> TakeReplies();
   std::vector<runs::RunnerCall> TakeRunnerCalls();
+  /** @return addresses at which no runner of this member is any more. */
+  std::vector<std::string> TakeLeftAddresses() {
+    return m_dispatcher.TakeLeftAddresses();
+  }
   std::vector<fleet::MachineOrder> TakeMachineOrders();
   std::vector<AdviceRequest> TakeAdviceRequests();
   /** @return whether the list of machines should be read now. */
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -62,6 +62,8 @@
 
   std::vector<RunnerCall> TakeCalls();
   std::vector<wire::WorkBodyUnion> TakeCommands();
+  /** @return addresses at which no runner of this owner is any more. */
+  std::vector<std::string> TakeLeftAddresses();
 
   /** @return whether a runner may be given work now. */
   bool IsUsable(const std::string& runner, Instant now) const;
@@ -101,6 +103,7 @@
   std::unordered_map<jobs::TaskKey, std::string> m_tickets;
   std::vector<RunnerCall> m_calls;
   std::vector<wire::WorkBodyUnion> m_commands;
+  std::vector<std::string> m_left_addresses;
 };
 
 }  // namespace bronzebarrow::runs
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -88,15 +88,23 @@
 
 TargetConnectionPtr TargetPool::TakeIdle(const Address& address) {
   const std::lock_guard lock(m_mutex);
-  auto& idle = m_idle[address];
-  while (!idle.empty()) {
-    TargetConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
-    if (IsQuiet(connection->m_stream)) {
-      return connection;
+  const auto places = m_places.find(address);
+  if (places == m_places.end()) {
+    return nullptr;
+  }
+  TargetConnectionPtr taken;
+  while (!places->second.empty() && !taken) {
+    const auto place = places->second.back();
+    places->second.pop_back();
+    if (IsQuiet(place->m_connection->m_stream)) {
+      taken = std::move(place->m_connection);
     }
+    m_idle.erase(place);
+  }
+  if (places->second.empty()) {
+    m_places.erase(places);
   }
-  return nullptr;
+  return taken;
 }
 
 asio::awaitable<TargetConnectionPtr> TargetPool::Acquire(Address address,
@@ -134,12 +142,41 @@
 void TargetPool::Release(const Address& address,
                          TargetConnectionPtr connection) {
   const std::lock_guard lock(m_mutex);
-  m_idle[address].push_back(std::move(connection));
+  m_idle.push_back({address, std::move(connection)});
+  auto& places = m_places[address];
+  places.push_back(std::prev(m_idle.end()));
+  if (places.size() > m_options.m_max_idle_per_address) {
+    CloseOldest(address);
+  }
+  while (m_idle.size() > m_options.m_max_idle) {
+    CloseOldest(Address(m_idle.front().m_address));
+  }
+}
+
+void TargetPool::CloseOldest(const Address& address) {
+  const auto places = m_places.find(address);
+  m_idle.erase(places->second.front());
+  places->second.pop_front();
+  if (places->second.empty()) {
+    m_places.erase(places);
+  }
 }
 
 void TargetPool::Retire(const Address& address) {
   const std::lock_guard lock(m_mutex);
-  m_idle.erase(address);
+  const auto places = m_places.find(address);
+  if (places == m_places.end()) {
+    return;
+  }
+  for (const auto place : places->second) {
+    m_idle.erase(place);
+  }
+  m_places.erase(places);
+}
+
+std::size_t TargetPool::idle() const {
+  const std::lock_guard lock(m_mutex);
+  return m_idle.size();
 }
 
 }  // namespace bronzebarrow::net
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -125,7 +125,7 @@
                                         std::move(m_store->recovered().m_state),
                                         CurrentMoment())),
       m_link(executor, m_settings.m_name, m_settings.m_seeds),
-      m_pool(executor),
+      m_pool(executor, m_settings.m_connections),
       m_tick(executor) {}
 
 Result<void> MemberNode::Start() {
@@ -261,6 +261,13 @@
   for (runs::RunnerCall& call : m_core->TakeRunnerCalls()) {
     asio::co_spawn(m_executor, RunCall(std::move(call)), asio::detached);
   }
+  for (const std::string& address : m_core->TakeLeftAddresses()) {
+    const auto parsed =
+        Capture<Address>([&] { return Address::Parse(address); });
+    if (const auto* left = std::get_if<Address>(&parsed)) {
+      m_pool.Retire(*left);
+    }
+  }
   for (fleet::MachineOrder& order : m_core->TakeMachineOrders()) {
     asio::co_spawn(m_executor, RunOrder(std::move(order)), asio::detached);
   }
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -58,6 +58,9 @@
 
 void Dispatcher::StopLeading() {
   m_epoch = 0;
+  for (const auto& [id, link] : m_links) {
+    m_left_addresses.push_back(link.m_address);
+  }
   m_links.clear();
   m_calls.clear();
   m_commands.clear();
@@ -71,6 +74,10 @@
   return std::exchange(m_commands, {});
 }
 
+std::vector<std::string> Dispatcher::TakeLeftAddresses() {
+  return std::exchange(m_left_addresses, {});
+}
+
 const RunnerLink* Dispatcher::FindLink(const std::string& runner) const {
   const auto link = m_links.find(runner);
   return link == m_links.end() ? nullptr : &link->second;
@@ -88,11 +95,16 @@
 
 void Dispatcher::RefreshLink(const std::string& id, Instant now) {
   const jobs::Runner* const runner = m_state.FindRunner(id);
+  const auto known = m_links.find(id);
+  if (known != m_links.end() &&
+      (runner == nullptr ||
+       known->second.m_address != runner->m_record.address)) {
+    m_left_addresses.push_back(known->second.m_address);
+  }
   if (runner == nullptr) {
     m_links.erase(id);
     return;
   }
-  const auto known = m_links.find(id);
   if (known != m_links.end() &&
       known->second.m_born_ms == runner->m_record.born_ms) {
     known->second.m_address = runner->m_record.address;
--- /dev/null
+++ b/tests/target_pool_test.cc
@@ -0,0 +1,113 @@
+// Idle connections to targets: how many are kept, and which are closed.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/net.h"
+
+namespace bronzebarrow::net {
+namespace {
+
+namespace asio = boost::asio;
+
+/** Targets on loopback that accept and keep every connection. */
+class FakeTargets {
+ public:
+  FakeTargets(asio::io_context& io, std::size_t count) {
+    const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    for (std::size_t i = 0; i < count; ++i) {
+      m_acceptors.push_back(
+          std::make_unique<asio::ip::tcp::acceptor>(io, any));
+      Accept(*m_acceptors.back());
+    }
+  }
+
+  Address At(std::size_t number) const {
+    return {"127.0.0.1", m_acceptors.at(number)->local_endpoint().port()};
+  }
+
+ private:
+  void Accept(asio::ip::tcp::acceptor& acceptor) {
+    acceptor.async_accept([this, &acceptor](const auto& error, auto socket) {
+      if (!error) {
+        m_sockets.push_back(std::move(socket));
+        Accept(acceptor);
+      }
+    });
+  }
+
+  std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> m_acceptors;
+  std::vector<asio::ip::tcp::socket> m_sockets;
+};
+
+class TargetPoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetPoolTest);
+  CPPUNIT_TEST(TestIdleConnectionsAreBounded);
+  CPPUNIT_TEST(TestRetireClosesOneAddress);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A fleet of hundreds of runners whose machines change their pool: each
+  // new life has an address of its own, and the old one is never used again.
+  void TestIdleConnectionsAreBounded() {
+    constexpr std::size_t kTargets = 6;
+    asio::io_context io(1);
+    FakeTargets targets(io, kTargets);
+    TargetPoolOptions options;
+    options.m_max_idle_per_address = 3;
+    options.m_max_idle = 10;
+    TargetPool pool(io.get_executor(), options);
+    for (std::size_t number = 0; number < kTargets; ++number) {
+      Hold(io, pool, targets.At(number), 5);
+      CPPUNIT_ASSERT(pool.idle() <= (number + 1) * 3);
+      CPPUNIT_ASSERT(pool.idle() <= 10);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, pool.idle());
+  }
+
+  void TestRetireClosesOneAddress() {
+    asio::io_context io(1);
+    FakeTargets targets(io, 2);
+    TargetPool pool(io.get_executor());
+    Hold(io, pool, targets.At(0), 4);
+    Hold(io, pool, targets.At(1), 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, pool.idle());
+    pool.Retire(targets.At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, pool.idle());
+    pool.Retire(targets.At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, pool.idle());
+  }
+
+ private:
+  // Acquires `count` connections at once, then gives all of them back.
+  static void Hold(asio::io_context& io, TargetPool& pool,
+                   const Address& address, std::size_t count) {
+    std::vector<TargetConnectionPtr> held;
+    for (std::size_t i = 0; i < count; ++i) {
+      asio::co_spawn(
+          io,
+          [&]() -> asio::awaitable<void> {
+            auto connection =
+                co_await pool.Acquire(address, Now() + Millis(5000));
+            CPPUNIT_ASSERT(connection != nullptr);
+            held.push_back(std::move(connection));
+          },
+          asio::detached);
+    }
+    while (held.size() < count) {
+      io.run_one();
+    }
+    for (TargetConnectionPtr& connection : held) {
+      pool.Release(address, std::move(connection));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetPoolTest);
+
+}  // namespace
+}  // namespace bronzebarrow::net
