Make the leader's decisions cheap at 350 runners; measure it on real processes

A profile of a leader with 300 runners and 1,280 starts a second, driven on loopback, shows searches that grow with the square of the fleet: the runner of a machine was found by looking at all runners (for each resting machine every 100 ms, for each due machine every tick), tasks that last were counted by looking up each step, the order of an ended run was searched on all runners, and log lines were built through string streams before the bound of a second dropped them. Ruled out: the log and the disk (5% of the samples), JSON. Change: WorkState keeps the latest life of each machine and, on each runner, how many runs last; the dispatcher looks at the runner that an end names; ranking skips jobs with nothing waiting and keeps the chain of a job; the planner does not look for room again for a need that fits nowhere; a line over the bound is not built.

--- a/include/bronzebarrow/base/event_log.h
+++ b/include/bronzebarrow/base/event_log.h
@@ -2,9 +2,12 @@
 #ifndef BRONZEBARROW_BASE_EVENT_LOG_H_
 #define BRONZEBARROW_BASE_EVENT_LOG_H_
 
+#include <array>
+#include <charconv>
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 #include "bronzebarrow/base/enum_names.h"
 #include "bronzebarrow/base/failure.h"
@@ -118,19 +121,35 @@
   /** Appends key=value; a value with spaces or quotes is quoted. */
   template <typename Value>
   EventLine& Field(std::string_view key, const Value& value) {
-    std::ostringstream text;
-    text << value;
-    Append(key, text.str());
+    if (!m_admitted) {
+      return *this;
+    }
+    if constexpr (std::is_same_v<Value, bool>) {
+      Append(key, value ? "1" : "0");
+    } else if constexpr (std::is_integral_v<Value>) {
+      std::array<char, 24> digits;
+      const auto [end, error] =
+          std::to_chars(digits.data(), digits.data() + digits.size(), value);
+      Append(key, std::string_view(digits.data(), end));
+    } else if constexpr (std::is_convertible_v<const Value&,
+                                               std::string_view>) {
+      Append(key, value);
+    } else {
+      std::ostringstream text;
+      text << value;
+      Append(key, text.str());
+    }
     return *this;
   }
 
   EventLine& Field(std::string_view key, ErrorCode code);
 
  private:
-  void Append(std::string_view key, const std::string& value);
+  void Append(std::string_view key, std::string_view value);
 
   Event m_event;
   Severity m_severity;
+  bool m_admitted;  // Within the bound of its second; else nothing is built.
   std::string m_line;
 };
 
--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -53,6 +53,9 @@
   bool m_started = false;  // A run was assigned once.
   std::uint64_t m_accepted_ms = 0;
   std::uint64_t m_ended_ms = 0;
+  // Of the longest chain of all steps by the callers' estimates; follows from
+  // m_spec and is set with it.
+  std::int64_t m_chain_ms = 0;
   std::uint32_t m_opened = 0;    // Occurrences below this number have begun.
   std::uint32_t m_finished = 0;  // Occurrences that are done.
   std::map<std::uint32_t, Occurrence> m_occurrences;  // Begun and not done.
@@ -67,6 +70,12 @@
                : m_spec.start_at_ms + occurrence * m_spec.interval_ms;
   }
   bool IsLasting() const;
+  /**
+   * @return the estimated ms of the longest chain of steps that are not done
+   * in the occurrence; of all steps when it is null
+   */
+  std::int64_t ChainMs(const Occurrence* occurrence) const;
+  void SetSpec(wire::JobSpecT spec);
   /** @return the state as callers see it. */
   wire::JobPhase Phase() const;
   Task* Find(const TaskKey& key);
--- a/include/bronzebarrow/jobs/runner.h
+++ b/include/bronzebarrow/jobs/runner.h
@@ -36,7 +36,10 @@
   std::uint64_t m_seen = 0;  // Ends up to this number are recorded.
   // Runs assigned and not known to have ended, also those being stopped.
   std::map<TaskKey, std::uint32_t> m_assigned;
-  Room m_used;  // By m_assigned.
+  Room m_used;                // By m_assigned.
+  std::size_t m_lasting = 0;  // Of m_assigned, runs of tasks that last.
+
+  bool HasShort() const { return m_assigned.size() > m_lasting; }
 
   Room Free() const;
 };
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -57,6 +57,8 @@
   const std::map<std::uint64_t, Upkeep>& waves() const { return m_waves; }
   const Job* FindJob(JobId id) const;
   const Runner* FindRunner(const std::string& id) const;
+  /** @return the latest life of the machine; null when none is known. */
+  const Runner* FindRunnerOf(const std::string& machine) const;
   const wire::StepSpecT* FindStep(const TaskKey& task) const;
   /** Jobs that are active, in the order of their acceptance. */
   const std::map<std::uint64_t, JobId>& active() const { return m_active; }
@@ -93,7 +95,9 @@
                 Applied& applied);
   void EndGang(Job& job, const TaskKey& key, Applied& applied);
   void EndJob(Job& job, JobState state, Applied& applied);
+  void Take(const RunKey& run, const wire::StepSpecT& step, Runner& runner);
   void Free(const TaskKey& key, const std::string& runner);
+  void IndexMachine(const std::string& machine);
   void FinishOccurrence(Job& job, std::uint32_t number, Applied& applied);
 
   std::uint64_t m_time_ms = 0;  // Never decreases.
@@ -107,6 +111,8 @@
   std::unordered_map<JobId, std::uint64_t> m_active_numbers;
   std::uint64_t m_next_number = 1;
   Runners m_runners;
+  // The latest life of each machine, by machine; follows from m_runners.
+  std::unordered_map<std::string, std::string> m_runner_of_machine;
   std::map<std::uint64_t, Upkeep> m_waves;
 };
 
--- a/include/bronzebarrow/net/target_pool.h
+++ b/include/bronzebarrow/net/target_pool.h
@@ -46,7 +46,8 @@
 };
 
 struct TargetPoolOptions {
-  /** Idle connections kept to one address: starts of a step that come at once. */
+  /** Idle connections kept to one address: starts of a step that come at once.
+   */
   std::size_t m_max_idle_per_address = 16;
   /** Idle connections kept to all addresses; a share of the descriptors. */
   std::size_t m_max_idle = 1024;
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -87,7 +87,6 @@
     std::uint64_t m_born_ms = 0;
   };
 
-  const jobs::Runner* RunnerOf(const std::string& machine) const;
   bool MayTakeAway(const jobs::TaskKey& task) const;
   bool IsAtWork(const jobs::TaskKey& key, const jobs::Task& task) const;
   std::uint32_t Blocked(const jobs::Runner& runner) const;
@@ -113,7 +112,6 @@
   runs::Dispatcher& m_dispatcher;
   MachineOptions m_options;
   std::uint64_t m_epoch = 0;
-  Instant m_led_since;
   Instant m_now;                                   // Of the last tick.
   std::map<std::string, Work> m_work;              // By machine.
   std::map<std::string, LastOrder> m_last_orders;  // Kept by every member.
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -29,10 +29,6 @@
   std::int64_t m_slack_ms = 0;  // Until it turns late.
 };
 
-/** @return the estimated ms of the longest chain of steps not yet done. */
-std::int64_t RemainingChainMs(const jobs::Job& job,
-                              const jobs::Occurrence& occurrence);
-
 /** @return active jobs with a waiting task, most deserving first. */
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
                                 std::uint64_t now_ms);
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "bronzebarrow/jobs.h"
@@ -21,6 +22,8 @@
   jobs::Room m_free;
   bool m_is_due = false;       // Its machine goes down soon.
   std::int64_t m_lasting = 0;  // Tasks that last on it.
+  std::string_view m_rack;
+  std::uint32_t m_of_step = 0;  // Tasks of the step that is being placed.
 };
 
 /** Runs to assign to one runner. */
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -94,11 +94,12 @@
   void LoseRuns(const std::string& runner, RunnerLink& link,
                 const std::vector<jobs::RunKey>& runs, const char* cause);
   void StopEndedJob(jobs::JobId id, Instant now);
+  /** @return whether the order for this very run was there. */
+  static bool Forget(RunnerLink& link, const jobs::RunKey& run);
 
   const jobs::WorkState& m_state;
   DispatcherOptions m_options;
-  std::uint64_t m_epoch = 0;  // 0: not leading.
-  Instant m_led_since;
+  std::uint64_t m_epoch = 0;                  // 0: not leading.
   std::map<std::string, RunnerLink> m_links;  // One for each known runner.
   std::unordered_map<jobs::TaskKey, std::string> m_tickets;
   std::vector<RunnerCall> m_calls;
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -45,15 +45,31 @@
     m_batching = batching;
   }
 
+  /** @return whether a line of this event is to be built; else counts it. */
+  bool Admit(Event event, Severity severity) {
+    const std::lock_guard lock(m_mutex);
+    if (!m_started) {
+      return true;
+    }
+    Budget& budget = m_budgets.at(static_cast<std::size_t>(event));
+    const std::uint64_t second = WallMillis() / 1000;
+    if (budget.m_second != second) {
+      budget = {second, 0};
+    }
+    const bool admitted =
+        ++budget.m_used <= kLinesPerSecond || severity == Severity::kError;
+    m_dropped += admitted ? 0 : 1;
+    return admitted;
+  }
+
   /** @return false when the log was not started. */
-  bool Take(Event event, Severity severity, const std::string& line) {
+  bool Take(Severity severity, const std::string& line) {
     const std::lock_guard lock(m_mutex);
     if (!m_started) {
       return false;
     }
     const std::uint64_t now_ms = WallMillis();
-    if (!Admit(event, severity, now_ms) ||
-        m_buffer.size() + line.size() > kMaxBufferedBytes) {
+    if (m_buffer.size() + line.size() > kMaxBufferedBytes) {
       ++m_dropped;
       return true;
     }
@@ -84,15 +100,6 @@
     std::uint32_t m_used = 0;
   };
 
-  bool Admit(Event event, Severity severity, std::uint64_t now_ms) {
-    Budget& budget = m_budgets.at(static_cast<std::size_t>(event));
-    const std::uint64_t second = now_ms / 1000;
-    if (budget.m_second != second) {
-      budget = {second, 0};
-    }
-    return ++budget.m_used <= kLinesPerSecond || severity == Severity::kError;
-  }
-
   void AppendTime(std::uint64_t now_ms) {
     const auto seconds = static_cast<std::time_t>(now_ms / 1000);
     std::tm parts{};
@@ -131,12 +138,12 @@
   bool m_batching = false;
 };
 
-bool NeedsQuotes(const std::string& value) {
+bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
-         value.find_first_of(" \"=\n\t\r") != std::string::npos;
+         value.find_first_of(" \"=\n\t\r") != std::string_view::npos;
 }
 
-std::string Quoted(const std::string& value) {
+std::string Quoted(std::string_view value) {
   std::string text = "\"";
   for (const char c : value) {
     if (c == '"' || c == '\\') {
@@ -157,12 +164,17 @@
 }  // namespace
 
 EventLine::EventLine(Event event, Severity severity)
-    : m_event(event), m_severity(severity), m_line("event=") {
-  m_line += NameOf(event);
+    : m_event(event),
+      m_severity(severity),
+      m_admitted(LogSink::Global().Admit(event, severity)) {
+  if (m_admitted) {
+    m_line = "event=";
+    m_line += NameOf(event);
+  }
 }
 
 EventLine::~EventLine() {
-  if (LogSink::Global().Take(m_event, m_severity, m_line)) {
+  if (!m_admitted || LogSink::Global().Take(m_severity, m_line)) {
     return;
   }
   switch (m_severity) {
@@ -183,11 +195,18 @@
   return *this;
 }
 
-void EventLine::Append(std::string_view key, const std::string& value) {
+void EventLine::Append(std::string_view key, std::string_view value) {
+  if (!m_admitted) {
+    return;
+  }
   m_line += ' ';
   m_line += key;
   m_line += '=';
-  m_line += NeedsQuotes(value) ? Quoted(value) : value;
+  if (NeedsQuotes(value)) {
+    m_line += Quoted(value);
+  } else {
+    m_line += value;
+  }
 }
 
 void StartLog(const char* program) {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -23,6 +23,38 @@
                      [](const auto& step) { return step->lasting; });
 }
 
+std::int64_t Job::ChainMs(const Occurrence* occurrence) const {
+  if (occurrence == nullptr) {
+    return m_chain_ms;
+  }
+  // Kept between calls: ranking asks for every active job.
+  thread_local std::vector<std::int64_t> ends;
+  ends.assign(m_spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t number = 0; number < ends.size(); ++number) {
+    const wire::StepSpecT& step = *m_spec.steps[number];
+    std::int64_t begin = 0;
+    for (const std::uint32_t earlier : step.depends_on) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends[number] = begin + (occurrence->m_steps[number].IsDone()
+                                ? 0
+                                : std::int64_t{step.estimate_ms});
+    longest = std::max(longest, ends[number]);
+  }
+  return longest;
+}
+
+void Job::SetSpec(wire::JobSpecT spec) {
+  m_spec = std::move(spec);
+  Occurrence untouched;
+  untouched.m_steps.resize(m_spec.steps.size());
+  for (StepState& step : untouched.m_steps) {
+    step.m_tasks.resize(1);
+  }
+  m_chain_ms = ChainMs(&untouched);
+}
+
 wire::JobPhase Job::Phase() const {
   switch (m_state) {
     case JobState::kActive:
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -111,18 +111,25 @@
   m_active.clear();
   m_active_numbers.clear();
   m_runners.clear();
+  m_runner_of_machine.clear();
   m_waves.clear();
   for (const auto& runner_image : image->runners) {
     Runner& runner = m_runners[runner_image->record->id];
     runner.m_record = *runner_image->record;
     runner.m_seen = runner_image->seen;
   }
+  for (const auto& [id, runner] : m_runners) {
+    const Runner* const known = FindRunnerOf(runner.m_record.machine);
+    if (known == nullptr || known->m_record.born_ms < runner.m_record.born_ms) {
+      m_runner_of_machine[runner.m_record.machine] = id;
+    }
+  }
   for (const auto& job_image : image->jobs) {
     const JobId id = ParseJobId(job_image->spec->id).value_or(0);
     Job& job = m_jobs[id];
     job.m_id = id;
     job.m_queue = job_image->queue;
-    job.m_spec = *job_image->spec;
+    job.SetSpec(*job_image->spec);
     job.m_state = static_cast<JobState>(job_image->state);
     job.m_started = job_image->started;
     job.m_accepted_ms = job_image->accepted_ms;
@@ -143,11 +150,10 @@
           const auto runner = m_runners.find(tasks[index].m_runner);
           if (tasks[index].m_state == TaskState::kAssigned &&
               runner != m_runners.end()) {
-            runner->second
-                .m_assigned[{id, number, static_cast<std::uint16_t>(step),
-                             static_cast<std::uint16_t>(index)}] =
-                tasks[index].m_run;
-            runner->second.m_used.Add(RoomOf(*job.m_spec.steps[step]), 1);
+            Take({{id, number, static_cast<std::uint16_t>(step),
+                   static_cast<std::uint16_t>(index)},
+                  tasks[index].m_run},
+                 *job.m_spec.steps[step], runner->second);
           }
         }
       }
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -57,6 +57,28 @@
   return runner == m_runners.end() ? nullptr : &runner->second;
 }
 
+const Runner* WorkState::FindRunnerOf(const std::string& machine) const {
+  const auto found = m_runner_of_machine.find(machine);
+  return found == m_runner_of_machine.end() ? nullptr
+                                            : FindRunner(found->second);
+}
+
+void WorkState::IndexMachine(const std::string& machine) {
+  const Runner* latest = nullptr;
+  for (const auto& [id, runner] : m_runners) {
+    if (runner.m_record.machine == machine &&
+        (latest == nullptr ||
+         runner.m_record.born_ms > latest->m_record.born_ms)) {
+      latest = &runner;
+    }
+  }
+  if (latest == nullptr) {
+    m_runner_of_machine.erase(machine);
+  } else {
+    m_runner_of_machine[machine] = latest->m_record.id;
+  }
+}
+
 const wire::StepSpecT* WorkState::FindStep(const TaskKey& task) const {
   const Job* const job = FindJob(task.m_job);
   return job != nullptr && task.m_step < job->m_spec.steps.size()
@@ -100,7 +122,7 @@
   Job& job = m_jobs[*id];
   job.m_id = *id;
   job.m_queue = accept.queue;
-  job.m_spec = *accept.job;
+  job.SetSpec(*accept.job);
   job.m_accepted_ms = m_time_ms;
   if (job.m_spec.times == 0) {
     job.OpenOccurrence();
@@ -148,8 +170,7 @@
     --step.m_waiting;
     ++step.m_assigned;
     job.m_started = true;
-    runner->second.m_assigned[run.m_task] = run.m_run;
-    runner->second.m_used.Add(RoomOf(*job.m_spec.steps[run.m_task.m_step]), 1);
+    Take(run, *job.m_spec.steps[run.m_task.m_step], runner->second);
     applied.m_assigned.push_back(run);
   }
   applied.m_changed = !applied.m_assigned.empty();
@@ -290,6 +311,13 @@
   applied.m_jobs_ended.push_back(job.m_id);
 }
 
+void WorkState::Take(const RunKey& run, const wire::StepSpecT& step,
+                     Runner& runner) {
+  runner.m_assigned[run.m_task] = run.m_run;
+  runner.m_used.Add(RoomOf(step), 1);
+  runner.m_lasting += step.lasting ? 1 : 0;
+}
+
 void WorkState::Free(const TaskKey& key, const std::string& runner) {
   const auto holder = m_runners.find(runner);
   if (holder == m_runners.end() || holder->second.m_assigned.erase(key) == 0) {
@@ -297,6 +325,7 @@
   }
   if (const wire::StepSpecT* const step = FindStep(key)) {
     holder->second.m_used.Add(RoomOf(*step), -1);
+    holder->second.m_lasting -= step->lasting ? 1 : 0;
   }
 }
 
@@ -328,7 +357,12 @@
   } else {
     known = m_runners.emplace(record->id, Runner()).first;
   }
+  const std::string earlier = known->second.m_record.machine;
   known->second.m_record = *record;
+  IndexMachine(record->machine);
+  if (earlier != record->machine) {
+    IndexMachine(earlier);
+  }
   applied.m_changed = true;
 }
 
@@ -342,7 +376,9 @@
     return;
   }
   LoseAll(runner->second, applied);
+  const std::string machine = runner->second.m_record.machine;
   m_runners.erase(runner);
+  IndexMachine(machine);
   applied.m_changed = true;
 }
 
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -23,7 +23,6 @@
 void MachinePlanner::Lead(std::uint64_t epoch, Instant now) {
   StopLeading();
   m_epoch = epoch;
-  m_led_since = now;
   m_next_list = now;
   m_next_balance = m_next_list;
 }
@@ -65,18 +64,6 @@
          runner.m_record.born_ms == work.m_born_ms;
 }
 
-const jobs::Runner* MachinePlanner::RunnerOf(const std::string& machine) const {
-  const jobs::Runner* found = nullptr;
-  for (const auto& [id, runner] : m_state.runners()) {
-    if (runner.m_record.machine == machine &&
-        (found == nullptr ||
-         runner.m_record.born_ms > found->m_record.born_ms)) {
-      found = &runner;
-    }
-  }
-  return found;
-}
-
 bool MachinePlanner::IsDue(const std::string& machine) const {
   return std::any_of(m_state.waves().begin(), m_state.waves().end(),
                      [&](const auto& item) {
@@ -133,18 +120,19 @@
 // Moves tasks that last to other runners, each as its budget allows.
 // @return whether none is left.
 bool MachinePlanner::StopLasting(const jobs::Runner& runner, Instant now) {
-  bool none_left = true;
+  if (runner.m_lasting == 0) {
+    return true;
+  }
   for (const auto& [task, run] : runner.m_assigned) {
     const wire::StepSpecT* const step = m_state.FindStep(task);
     if (step == nullptr || !step->lasting) {
       continue;
     }
-    none_left = false;
     if (MayTakeAway(task)) {
       m_dispatcher.StopRun(runner.m_record.id, task, now);
     }
   }
-  return none_left;
+  return false;
 }
 
 void MachinePlanner::Record(std::uint64_t wave, const std::string& machine,
@@ -220,7 +208,7 @@
       if (state == jobs::UpkeepState::kOrdered && !m_work.contains(machine)) {
         // Recorded by an earlier owner; whether it was sent is not known. The
         // platform carries it out once, so it is emptied and ordered again.
-        Begin(machine, RunnerOf(machine), now).m_wave = number;
+        Begin(machine, m_state.FindRunnerOf(machine), now).m_wave = number;
       }
     }
     if (!wave.IsCompleted()) {
@@ -272,7 +260,7 @@
       if (state != jobs::UpkeepState::kDue || m_work.contains(machine)) {
         continue;
       }
-      const jobs::Runner* const runner = RunnerOf(machine);
+      const jobs::Runner* const runner = m_state.FindRunnerOf(machine);
       if (runner != nullptr && runner->m_record.draining) {
         continue;
       }
@@ -363,7 +351,7 @@
   if (runner == nullptr || runner->m_record.born_ms != work.m_born_ms) {
     work.m_runner.clear();
     work.m_born_ms = 0;
-    const jobs::Runner* const next = RunnerOf(machine);
+    const jobs::Runner* const next = m_state.FindRunnerOf(machine);
     if (next == nullptr) {
       return true;
     }
@@ -375,14 +363,8 @@
   if (work.m_action == fleet::MachineAction::kMove) {
     return runner->m_assigned.empty();
   }
-  const bool has_short =
-      std::any_of(runner->m_assigned.begin(), runner->m_assigned.end(),
-                  [&](const auto& item) {
-                    const auto* step = m_state.FindStep(item.first);
-                    return step != nullptr && !step->lasting;
-                  });
   const bool waited = now >= work.m_since + m_options.m_drain;
-  return StopLasting(*runner, now) && (!has_short || waited);
+  return StopLasting(*runner, now) && (!runner->HasShort() || waited);
 }
 
 void MachinePlanner::Order(const std::string& machine, Work& work,
@@ -409,7 +391,7 @@
       pool->standby) {
     return true;
   }
-  const jobs::Runner* const runner = RunnerOf(machine);
+  const jobs::Runner* const runner = m_state.FindRunnerOf(machine);
   if (runner == nullptr) {
     // A resting machine has no runner to come back.
     return work.m_action == fleet::MachineAction::kUpkeep &&
@@ -441,13 +423,7 @@
     ++load->second.m_machines;
     load->second.m_machine_milli = runner.m_record.cpu_milli;
     load->second.m_used_milli += runner.m_used.m_cpu_milli;
-    const bool has_lasting =
-        std::any_of(runner.m_assigned.begin(), runner.m_assigned.end(),
-                    [&](const auto& item) {
-                      const auto* step = m_state.FindStep(item.first);
-                      return step == nullptr || step->lasting;
-                    });
-    if (!has_lasting && !runner.m_record.machine.empty() &&
+    if (runner.m_lasting == 0 && !runner.m_record.machine.empty() &&
         !m_work.contains(runner.m_record.machine) &&
         MayOrder(runner.m_record.machine)) {
       load->second.m_movable.push_back(
@@ -464,7 +440,7 @@
     const auto load = loads.find(machine.m_pool);
     if (load != loads.end() && load->second.m_standby &&
         moment.m_now >= m_not_before[name] && !m_work.contains(name) &&
-        RunnerOf(name) == nullptr && MayOrder(name)) {
+        m_state.FindRunnerOf(name) == nullptr && MayOrder(name)) {
       load->second.m_movable.push_back({name, 0});
     }
   }
@@ -510,7 +486,8 @@
   }
   for (const placement::PoolMove& move :
        placement::Balance(std::move(loads), m_options.m_balance)) {
-    Work& work = Begin(move.m_machine, RunnerOf(move.m_machine), moment.m_now);
+    Work& work = Begin(move.m_machine, m_state.FindRunnerOf(move.m_machine),
+                       moment.m_now);
     work.m_action = fleet::MachineAction::kMove;
     work.m_pool = move.m_to;
     EventLine(Event::kMachineMoved)
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -240,6 +240,7 @@
   }
   m_told_leading = leading;
   m_told_leader = name;
+  m_metrics.SetGauge("bronzebarrow_leading", "", leading ? 1 : 0);
   for (const net::FrameConnectionPtr& connection : m_watchers) {
     SendView(connection);
   }
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -10,21 +10,15 @@
 // Credit ends at this multiple of the objective (the platform's rules).
 constexpr std::int64_t kWorthlessAfter = 3;
 
-std::int64_t ChainMs(const jobs::Job& job, const jobs::Occurrence* occurrence) {
-  std::vector<std::int64_t> ends(job.m_spec.steps.size(), 0);
-  std::int64_t longest = 0;
-  for (std::size_t number = 0; number < ends.size(); ++number) {
-    const wire::StepSpecT& step = *job.m_spec.steps[number];
-    std::int64_t begin = 0;
-    for (const std::uint32_t earlier : step.depends_on) {
-      begin = std::max(begin, ends[earlier]);
+bool HasWaiting(const jobs::Job& job) {
+  for (const auto& [number, occurrence] : job.m_occurrences) {
+    for (const jobs::StepState& step : occurrence.m_steps) {
+      if (step.m_waiting > 0) {
+        return true;
+      }
     }
-    const bool done =
-        occurrence != nullptr && occurrence->m_steps[number].IsDone();
-    ends[number] = begin + (done ? 0 : step.estimate_ms);
-    longest = std::max(longest, ends[number]);
   }
-  return longest;
+  return false;
 }
 
 Standing StandingOf(std::int64_t age, std::int64_t remaining,
@@ -38,33 +32,27 @@
 
 }  // namespace
 
-std::int64_t RemainingChainMs(const jobs::Job& job,
-                              const jobs::Occurrence& occurrence) {
-  return ChainMs(job, &occurrence);
-}
-
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
                                 std::uint64_t now_ms) {
   std::vector<RankedJob> ranked;
   for (const auto& [number, id] : state.active()) {
     const jobs::Job& job = *state.FindJob(id);
+    if (!HasWaiting(job)) {
+      continue;
+    }
     const wire::QueueSpecT* const queue = state.queues().Find(job.m_queue);
     if (queue == nullptr) {
       continue;  // Its queue was taken out: nothing says where it may run.
     }
-    bool waits = false;
     RankedJob entry = {&job, queue, Standing::kLasting, 0};
-    for (const auto& [k, occurrence] : job.m_occurrences) {
-      for (const jobs::StepState& step : occurrence.m_steps) {
-        waits = waits || step.m_waiting > 0;
-      }
-      if (!job.IsLasting()) {
-        const auto objective = static_cast<std::int64_t>(
-            queue->slack_factor * static_cast<double>(ChainMs(job, nullptr)) +
-            queue->objective_ms);
+    if (!job.IsLasting()) {
+      const auto objective = static_cast<std::int64_t>(
+          queue->slack_factor * static_cast<double>(job.ChainMs(nullptr)) +
+          queue->objective_ms);
+      for (const auto& [k, occurrence] : job.m_occurrences) {
         const std::int64_t age =
             static_cast<std::int64_t>(now_ms - std::min(now_ms, job.DueMs(k)));
-        const std::int64_t remaining = ChainMs(job, &occurrence);
+        const std::int64_t remaining = job.ChainMs(&occurrence);
         const Standing standing = StandingOf(age, remaining, objective);
         if (entry.m_standing == Standing::kLasting ||
             standing < entry.m_standing) {
@@ -73,9 +61,7 @@
         }
       }
     }
-    if (waits) {
-      ranked.push_back(entry);
-    }
+    ranked.push_back(entry);
   }
   std::stable_sort(ranked.begin(), ranked.end(),
                    [](const RankedJob& a, const RankedJob& b) {
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -18,8 +18,9 @@
 }
 
 // The rack is the last label (labels are the runner's kind and its rack).
-std::string RackOf(const jobs::Runner& runner) {
-  return runner.m_record.labels.empty() ? "" : runner.m_record.labels.back();
+std::string_view RackOf(const jobs::Runner& runner) {
+  return runner.m_record.labels.empty() ? std::string_view()
+                                        : runner.m_record.labels.back();
 }
 
 /** One pass of planning over all pools. */
@@ -32,14 +33,9 @@
       }
       const bool due =
           input.m_is_due && input.m_is_due(runner.m_record.machine);
-      const auto lasting = static_cast<std::int64_t>(
-          std::count_if(runner.m_assigned.begin(), runner.m_assigned.end(),
-                        [&](const auto& item) {
-                          const auto* step = input.m_state.FindStep(item.first);
-                          return step != nullptr && step->lasting;
-                        }));
-      m_pools[runner.m_record.pool].push_back(
-          {&runner, runner.Free(), due, lasting});
+      m_pools[runner.m_record.pool].m_candidates.push_back(
+          {&runner, runner.Free(), due,
+           static_cast<std::int64_t>(runner.m_lasting), RackOf(runner)});
     }
   }
 
@@ -71,19 +67,31 @@
   bool IsFull() const { return m_runs >= m_input.m_max_runs; }
 
  private:
+  /** The candidates of one pool, and what is known not to fit on any. */
+  struct Pool {
+    std::vector<Candidate> m_candidates;
+    // Needs of steps without further conditions for which no runner had room;
+    // room only shrinks during a pass.
+    std::vector<jobs::Room> m_too_large;
+
+    bool CannotFit(const jobs::Room& need) const {
+      return std::any_of(
+          m_too_large.begin(), m_too_large.end(),
+          [&](const jobs::Room& failed) { return need.Fits(failed); });
+    }
+  };
+
   void PlaceStep(const RankedJob& ranked, std::uint32_t number,
-                 const jobs::StepState& state, std::size_t step,
-                 std::vector<Candidate>& candidates) {
+                 const jobs::StepState& state, std::size_t step, Pool& pool) {
     const wire::StepSpecT& spec = *ranked.m_job->m_spec.steps[step];
-    std::map<std::string, std::uint32_t> on_runner;
-    std::map<std::string, std::uint32_t> on_rack;
-    for (const jobs::Task& task : state.m_tasks) {
-      if (task.m_state == jobs::TaskState::kAssigned) {
-        ++on_runner[task.m_runner];
-        if (const auto* runner = m_input.m_state.FindRunner(task.m_runner)) {
-          ++on_rack[RackOf(*runner)];
-        }
-      }
+    if (pool.CannotFit(jobs::RoomOf(spec))) {
+      return;
+    }
+    std::vector<Candidate>& candidates = pool.m_candidates;
+    std::map<std::string_view, std::uint32_t> on_rack;
+    const bool counts_runners = spec.lasting || spec.max_per_runner > 0;
+    if (counts_runners || spec.same_rack) {
+      CountStep(state, candidates, on_rack);
     }
     std::vector<std::pair<Candidate*, jobs::RunKey>> chosen;
     const jobs::Room need = jobs::RoomOf(spec);
@@ -105,8 +113,12 @@
                                  static_cast<std::uint16_t>(step),
                                  static_cast<std::uint16_t>(index)};
       Candidate* const best =
-          Best(ranked, key, spec, task, need, on_runner, on_rack, candidates);
+          Best(ranked, key, spec, task, need, on_rack, candidates);
       if (best == nullptr) {
+        if (!spec.gang && spec.required_label.empty() &&
+            spec.max_per_runner == 0 && !ranked.m_queue->needs_advice) {
+          pool.m_too_large.push_back(need);
+        }
         if (spec.gang) {
           Undo(chosen, need);
           return;
@@ -116,8 +128,10 @@
       const std::uint32_t run = spec.gang ? gang_run : task.m_run + 1;
       best->m_free.Add(need, -1);
       best->m_lasting += spec.lasting ? 1 : 0;
-      ++on_runner[best->m_runner->m_record.id];
-      ++on_rack[RackOf(*best->m_runner)];
+      ++best->m_of_step;
+      if (spec.same_rack) {
+        ++on_rack[best->m_rack];
+      }
       chosen.emplace_back(best, jobs::RunKey{key, run});
       if (m_runs + chosen.size() >= m_input.m_max_runs && !spec.gang) {
         break;
@@ -148,8 +162,7 @@
   Candidate* Best(const RankedJob& ranked, const jobs::TaskKey& key,
                   const wire::StepSpecT& spec, const jobs::Task& task,
                   const jobs::Room& need,
-                  std::map<std::string, std::uint32_t>& on_runner,
-                  std::map<std::string, std::uint32_t>& on_rack,
+                  const std::map<std::string_view, std::uint32_t>& on_rack,
                   std::vector<Candidate>& candidates) {
     using Score = std::tuple<bool, std::int64_t, bool, bool, std::uint32_t,
                              std::int64_t, std::int64_t>;
@@ -162,7 +175,7 @@
           (!spec.required_label.empty() &&
            !HasLabel(runner, spec.required_label)) ||
           (spec.max_per_runner > 0 &&
-           Count(on_runner, id) >= spec.max_per_runner)) {
+           candidate.m_of_step >= spec.max_per_runner)) {
         continue;
       }
       if (ranked.m_queue->needs_advice &&
@@ -170,16 +183,20 @@
            !m_input.m_adviser->TicketFor(key, id))) {
         continue;
       }
-      const std::string rack = RackOf(runner);
-      const bool far = !spec.data_rack.empty() && rack != spec.data_rack;
+      const bool far =
+          !spec.data_rack.empty() && candidate.m_rack != spec.data_rack;
+      const auto together =
+          spec.same_rack ? on_rack.find(candidate.m_rack) : on_rack.end();
       const std::int64_t apart =
-          spec.same_rack ? -static_cast<std::int64_t>(Count(on_rack, rack)) : 0;
+          together == on_rack.end()
+              ? 0
+              : -static_cast<std::int64_t>(together->second);
       const bool spreads = spec.lasting;
       const Score score = {far,
                            apart,
                            task.m_failures > 0 && task.m_runner == id,
                            spreads && candidate.m_is_due,
-                           spreads ? Count(on_runner, id) : 0,
+                           spreads ? candidate.m_of_step : 0,
                            spreads ? -candidate.m_lasting : 0,
                            candidate.m_free.m_cpu_milli};
       if (best == nullptr || score < best_score) {
@@ -190,14 +207,33 @@
     return best;
   }
 
-  static std::uint32_t Count(const std::map<std::string, std::uint32_t>& counts,
-                             const std::string& key) {
-    const auto found = counts.find(key);
-    return found == counts.end() ? 0 : found->second;
+  // Notes where tasks of the step are, before more of them are placed.
+  void CountStep(const jobs::StepState& state,
+                 std::vector<Candidate>& candidates,
+                 std::map<std::string_view, std::uint32_t>& on_rack) const {
+    for (Candidate& candidate : candidates) {
+      candidate.m_of_step = 0;
+    }
+    if (state.m_assigned == 0) {
+      return;
+    }
+    std::map<std::string_view, std::uint32_t> on_runner;
+    for (const jobs::Task& task : state.m_tasks) {
+      if (task.m_state == jobs::TaskState::kAssigned) {
+        ++on_runner[task.m_runner];
+        if (const auto* runner = m_input.m_state.FindRunner(task.m_runner)) {
+          ++on_rack[RackOf(*runner)];
+        }
+      }
+    }
+    for (Candidate& candidate : candidates) {
+      const auto count = on_runner.find(candidate.m_runner->m_record.id);
+      candidate.m_of_step = count == on_runner.end() ? 0 : count->second;
+    }
   }
 
   const PlanInput& m_input;
-  std::map<std::string, std::vector<Candidate>> m_pools;
+  std::map<std::string, Pool> m_pools;
   std::map<std::string, Placement> m_placements;
   std::size_t m_runs = 0;
 };
@@ -205,8 +241,13 @@
 }  // namespace
 
 std::vector<Placement> Plan(const PlanInput& input) {
+  const std::vector<RankedJob> ranking =
+      RankJobs(input.m_state, input.m_now_ms);
+  if (ranking.empty()) {
+    return {};
+  }
   Pass pass(input);
-  for (const RankedJob& ranked : RankJobs(input.m_state, input.m_now_ms)) {
+  for (const RankedJob& ranked : ranking) {
     if (pass.IsFull()) {
       break;
     }
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -41,7 +41,6 @@
 
 void Dispatcher::Lead(std::uint64_t epoch, Instant now) {
   m_epoch = epoch;
-  m_led_since = now;
   m_links.clear();
   m_tickets.clear();
   m_calls.clear();
@@ -271,6 +270,15 @@
   }
 }
 
+bool Dispatcher::Forget(RunnerLink& link, const jobs::RunKey& run) {
+  const auto order = link.m_orders.find(run.m_task);
+  if (order == link.m_orders.end() || order->second.m_run != run.m_run) {
+    return false;
+  }
+  link.m_orders.erase(order);
+  return true;
+}
+
 void Dispatcher::OnApplied(const jobs::Applied& applied, Instant now) {
   if (!leading()) {
     return;
@@ -300,10 +308,10 @@
     }
   }
   for (const jobs::RunKey& run : applied.m_ended) {
-    for (auto& [id, link] : m_links) {
-      const auto order = link.m_orders.find(run.m_task);
-      if (order != link.m_orders.end() && order->second.m_run == run.m_run) {
-        link.m_orders.erase(order);
+    const bool here = found != m_links.end() && Forget(found->second, run);
+    // Another member of its gang ended for it, on a runner of its own.
+    for (auto link = m_links.begin(); !here && link != m_links.end(); ++link) {
+      if (Forget(link->second, run)) {
         break;
       }
     }
--- /dev/null
+++ b/tests/process_platform.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# The users' platform on loopback: three members and an entry as processes of
+# their own, and a stand-in for runners, operator and callers. The leader is
+# killed while jobs run; each job must complete, and no task may run twice.
+# Arguments go to the stand-in; KILL=0 leaves the leader alone, PROFILE=FILE
+# records where the leader's processor time goes.
+set -euo pipefail
+build="${BUILD:-$(dirname "$0")/../build}"
+folder="$(mktemp -d)"
+pids=()
+finish() {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  [ -n "${KEEP:-}" ] || rm -rf "$folder"
+}
+trap finish EXIT
+
+# Each process has a loopback address of its own, so that ports are the same
+# on all, as on the platform.
+start() { # name, role, address, bootstrap
+  mkdir -p "$folder/$1.data"
+  cat >"$folder/$1.yaml" <<YAML
+node_name: "$1"
+ip: "$3"
+zone: "z"
+listen: {front: "$3:21001", readiness: "$3:21002", control: "$3:21003"}
+port_range: [21010, 21025]
+seeds: ["127.0.0.1:21003", "127.0.0.2:21003", "127.0.0.3:21003"]
+bootstrap: $4
+data_dir: "$folder/$1.data"
+fault_tolerance: {machines: 1, zones: 0, regions: 0}
+limits: {max_fds: 4096}
+bounds: {grace_s: 6}
+YAML
+  BRONZEBARROW_NODE_FILE="$folder/$1.yaml" \
+    "$build/bronzebarrow-platform" "$2" 9464 >>"$folder/$1.log" 2>&1 &
+  pids+=($!)
+  pid_of[$1]=$!
+}
+leader() {
+  local name
+  for name in m1 m2 m3; do
+    [ -n "${pid_of[$name]}" ] || continue
+    if curl -s -m 1 "http://127.0.0.${name#m}:9464/metrics" |
+      grep -q '^bronzebarrow_leading 1'; then
+      echo "$name"
+      return
+    fi
+  done
+}
+declare -A pid_of
+for i in 1 2 3; do start "m$i" member "127.0.0.$i" true; done
+start e1 entry 127.0.0.4 true
+
+"$build/platform_standin" --front=127.0.0.4:21001 \
+  --controls=127.0.0.1:21003,127.0.0.2:21003,127.0.0.3:21003 "$@" &
+standin=$!
+sleep 3
+if [ "${KILL:-1}" = 1 ]; then
+  found="$(leader)"
+  [ -n "$found" ] || { echo "no member leads"; kill "$standin"; exit 1; }
+  kill -9 "${pid_of[$found]}"
+  echo "killed the leader, $found"
+  sleep 2
+  start "$found" member "127.0.0.${found#m}" false
+elif [ -n "${PROFILE:-}" ]; then
+  perf record -q -g -o "$PROFILE" -p "${pid_of[$(leader)]}" -- sleep 4
+fi
+result=0
+wait "$standin" || result=$?
+for name in m1 m2 m3; do
+  ticks="$(cut -d' ' -f14,15 "/proc/${pid_of[$name]}/stat")"
+  echo "$name processor ticks, user and system: $ticks"
+done
+exit "$result"
--- a/tests/target_pool_test.cc
+++ b/tests/target_pool_test.cc
@@ -20,8 +20,7 @@
   FakeTargets(asio::io_context& io, std::size_t count) {
     const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
     for (std::size_t i = 0; i < count; ++i) {
-      m_acceptors.push_back(
-          std::make_unique<asio::ip::tcp::acceptor>(io, any));
+      m_acceptors.push_back(std::make_unique<asio::ip::tcp::acceptor>(io, any));
       Accept(*m_acceptors.back());
     }
   }
