Let idle machines wait for the next turn; order moves without waiting for later plans

A machine that is to move or go down waited until no plan at all was on its way to the log. In a burst plans follow each other without a pause, so moves and upkeeps waited 0.5 to 3 s and some were given up. 2. At most 12 moves began in 100 ms, whatever the platform's rate. 3. Idle machines rested after 2.3 s, so each turn began with 10 of the 170 machines it needs; the others came one move later. 4. Change: a work notes the first plan that knows of it; moves begin at a share of the platform's rate; idle machines wait in the pools that had no turn yet, else in the one whose turn was longest ago, while turns come; a task that lasts keeps a machine free of new work until it fits, and Demands tells over how many machines a step must be spread. Calls of a member need no strands, and plans keep 15 ms between them.

--- a/include/bronzebarrow/net/target_pool.h
+++ b/include/bronzebarrow/net/target_pool.h
@@ -20,13 +20,14 @@
 
 namespace bronzebarrow::net {
 
-/** An exclusive connection to a target; runs on its own strand. */
+/** An exclusive connection to a target. */
 class TargetConnection {
  public:
-  explicit TargetConnection(const boost::asio::any_io_executor& executor)
-      : m_strand(boost::asio::make_strand(executor)), m_stream(m_strand) {}
+  /** @param executor runs one handler at a time */
+  explicit TargetConnection(boost::asio::any_io_executor executor)
+      : m_executor(std::move(executor)), m_stream(m_executor) {}
 
-  boost::asio::strand<boost::asio::any_io_executor> m_strand;
+  boost::asio::any_io_executor m_executor;
   boost::beast::tcp_stream m_stream;
   Instant m_opened;
 };
@@ -51,6 +52,8 @@
   std::size_t m_max_idle_per_address = 16;
   /** Idle connections kept to all addresses; a share of the descriptors. */
   std::size_t m_max_idle = 1024;
+  /** Whether the executor runs one handler at a time; saves the strands. */
+  bool m_is_serial = false;
 };
 
 class TargetPool {
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -35,9 +35,17 @@
   /** How often pools are balanced, and the platform's list is read. */
   Duration m_balance_interval = Millis(100);
   Duration m_list_interval = Millis(10'000);
+  /** Orders that the platform takes a second, from all members together. */
+  double m_orders_per_s = 64;
   placement::BalanceOptions m_balance;
 };
 
+/** Which plans of work may still name a machine as it was. */
+struct PlanProgress {
+  std::uint64_t m_next = 0;         // Number of the next plan.
+  std::uint64_t m_oldest_open = 0;  // Plans below this are in the log.
+};
+
 /** Decides; the shell carries orders out and the log records them. */
 class MachinePlanner {
  public:
@@ -49,8 +57,7 @@
 
   void Lead(std::uint64_t epoch, Instant now);
   void StopLeading();
-  /** @param plan_out whether assignments are on their way to the log */
-  void Tick(Moment moment, bool plan_out);
+  void Tick(Moment moment, PlanProgress plans);
   /** Every member notes commands for machines, to lead after the owner. */
   void OnApplied(const jobs::Applied& applied, Instant now);
   void OnList(std::vector<fleet::Machine> machines, Instant now);
@@ -77,7 +84,9 @@
     fleet::MachineAction m_action = fleet::MachineAction::kUpkeep;
     std::uint64_t m_wave = 0;  // Of an upkeep.
     std::string m_pool;        // Where a move goes.
-    bool m_settled = false;    // No assignment from before is on its way.
+    // The first plan that knew that the machine is closed; those before it
+    // may have assigned work to the machine.
+    std::uint64_t m_first_plan = 0;
     Phase m_phase = Phase::kDraining;
     Instant m_since;
     Instant m_next_try;
@@ -113,11 +122,14 @@
   MachineOptions m_options;
   std::uint64_t m_epoch = 0;
   Instant m_now;                                   // Of the last tick.
+  PlanProgress m_plans;                            // Of the last tick.
   std::map<std::string, Work> m_work;              // By machine.
   std::map<std::string, LastOrder> m_last_orders;  // Kept by every member.
   std::map<std::string, fleet::Machine> m_listed;  // As last read or moved.
   std::map<std::string, Instant> m_not_before;     // Machines on their way.
   std::map<std::string, Instant> m_last_short;     // Pools that lacked room.
+  std::map<std::string, Instant> m_last_turn;  // Pools that had most demand.
+  double m_moves_left = 0;  // That may begin now, by the platform's rate.
   std::int64_t m_machine_milli = 0;  // Processor of the largest machine.
   Instant m_next_balance;
   Instant m_next_list;
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -173,6 +173,7 @@
   std::uint64_t m_batches_out = 0;             // Proposed and not applied.
   bool m_plan_wanted = false;
   Instant m_next_plan;
+  Instant m_last_plan;
   Instant m_next_second;
   std::uint64_t m_next_token = 1;
 
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -33,12 +33,18 @@
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
                                 std::uint64_t now_ms);
 
-/**
- * @return processor, in thousandths of a core, that tasks which could start
- * now ask for, by pool; hopeless jobs do not count.
- */
-std::map<std::string, std::int64_t> ReadyMilli(const jobs::WorkState& state,
-                                               std::uint64_t now_ms);
+/** What the jobs of a pool ask for. */
+struct PoolDemand {
+  /** Of tasks that could start now, in thousandths of a core. */
+  std::int64_t m_ready_milli = 0;
+  /** Machines over which one step must be spread, each with few of its tasks.
+   */
+  std::int64_t m_spread = 0;
+};
+
+/** @return the demand by pool; hopeless jobs do not count. */
+std::map<std::string, PoolDemand> Demands(const jobs::WorkState& state,
+                                          std::uint64_t now_ms);
 
 }  // namespace bronzebarrow::placement
 
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -23,6 +23,7 @@
   bool m_is_due = false;       // Its machine goes down soon.
   std::int64_t m_lasting = 0;  // Tasks that last on it.
   std::string_view m_rack;
+  bool m_reserved = false;      // For a task that lasts and needs more room.
   std::uint32_t m_of_step = 0;  // Tasks of the step that is being placed.
 };
 
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -113,10 +113,18 @@
   if (TargetConnectionPtr idle = TakeIdle(address)) {
     co_return idle;
   }
-  auto connection = std::make_shared<TargetConnection>(m_executor);
-  const boost::system::error_code error = co_await asio::co_spawn(
-      connection->m_strand, Connect(connection, address, deadline),
-      asio::use_awaitable);
+  auto connection = std::make_shared<TargetConnection>(
+      m_options.m_is_serial
+          ? m_executor
+          : asio::any_io_executor(asio::make_strand(m_executor)));
+  boost::system::error_code error;
+  if (m_options.m_is_serial) {
+    error = co_await Connect(connection, address, deadline);
+  } else {
+    error = co_await asio::co_spawn(connection->m_executor,
+                                    Connect(connection, address, deadline),
+                                    asio::use_awaitable);
+  }
   if (refused != nullptr) {
     *refused = error == asio::error::connection_refused;
   }
@@ -126,10 +134,15 @@
 asio::awaitable<ExchangeResult> TargetPool::Exchange(
     TargetConnectionPtr connection, Address address, HttpRequest request,
     Instant deadline) {
-  ExchangeResult result = co_await asio::co_spawn(
-      connection->m_strand,
-      RunExchange(connection, std::move(request), deadline),
-      asio::use_awaitable);
+  ExchangeResult result;
+  if (m_options.m_is_serial) {
+    result = co_await RunExchange(connection, std::move(request), deadline);
+  } else {
+    result = co_await asio::co_spawn(
+        connection->m_executor,
+        RunExchange(connection, std::move(request), deadline),
+        asio::use_awaitable);
+  }
   if (result.m_verdict == ExchangeVerdict::kAnswered &&
       result.m_response.keep_alive()) {
     Release(address, std::move(connection));
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -15,6 +15,10 @@
 constexpr Duration kFreshList = Millis(2500);
 constexpr std::uint32_t kAtWork = 100;
 constexpr Duration kLogInterval = Millis(500);
+// Moves that begin at once, and those that follow each second, as shares of
+// the platform's rate; together they stay within it in any second.
+constexpr double kBurstShare = 0.25;
+constexpr double kSteadyShare = 0.75;
 // A machine without a runner is back this long after its upkeep should end.
 constexpr Duration kReturnMargin = Millis(500);
 
@@ -23,6 +27,7 @@
 void MachinePlanner::Lead(std::uint64_t epoch, Instant now) {
   StopLeading();
   m_epoch = epoch;
+  m_moves_left = 0;
   m_next_list = now;
   m_next_balance = m_next_list;
 }
@@ -33,6 +38,7 @@
   m_listed.clear();
   m_not_before.clear();
   m_last_short.clear();
+  m_last_turn.clear();
   m_orders.clear();
   m_commands.clear();
 }
@@ -197,9 +203,10 @@
   m_next_balance = std::min(m_next_balance, now);
 }
 
-void MachinePlanner::Tick(Moment moment, bool plan_out) {
+void MachinePlanner::Tick(Moment moment, PlanProgress plans) {
   const Instant now = moment.m_now;
   m_now = now;
+  m_plans = plans;
   if (m_epoch == 0) {
     return;
   }
@@ -220,7 +227,6 @@
     BalancePools(moment);
   }
   for (auto work = m_work.begin(); work != m_work.end();) {
-    work->second.m_settled = work->second.m_settled || !plan_out;
     if (Advance(work->first, work->second, now)) {
       work = m_work.erase(work);
     } else {
@@ -236,6 +242,7 @@
   work = Work();
   work.m_since = now;
   work.m_next_try = now;
+  work.m_first_plan = m_plans.m_next;
   if (runner != nullptr) {
     work.m_runner = runner->m_record.id;
     work.m_born_ms = runner->m_record.born_ms;
@@ -341,7 +348,7 @@
 // @return whether nothing on the machine stands against the order any more.
 bool MachinePlanner::Drain(const std::string& machine, Work& work,
                            Instant now) {
-  if (!work.m_settled) {
+  if (m_plans.m_oldest_open < work.m_first_plan) {
     return false;
   }
   if (work.m_runner.empty()) {
@@ -357,7 +364,7 @@
     }
     work.m_runner = next->m_record.id;  // Another life of it has begun.
     work.m_born_ms = next->m_record.born_ms;
-    work.m_settled = false;
+    work.m_first_plan = m_plans.m_next;
     return false;
   }
   if (work.m_action == fleet::MachineAction::kMove) {
@@ -444,11 +451,18 @@
       load->second.m_movable.push_back({name, 0});
     }
   }
-  const auto ready = placement::ReadyMilli(m_state, moment.m_wall_ms);
+  const auto demands = placement::Demands(m_state, moment.m_wall_ms);
+  std::int64_t all_demand = 0;
+  for (auto& [name, load] : loads) {
+    const auto demand = demands.find(name);
+    if (demand != demands.end()) {
+      load.m_ready_milli = demand->second.m_ready_milli;
+      load.m_spread = demand->second.m_spread;
+    }
+    all_demand += load.m_used_milli + load.m_ready_milli;
+  }
   std::vector<placement::PoolLoad> result;
   for (auto& [name, load] : loads) {
-    const auto milli = ready.find(name);
-    load.m_ready_milli = milli == ready.end() ? 0 : milli->second;
     Instant& last_short =
         m_last_short.emplace(name, moment.m_now).first->second;
     if (load.m_ready_milli > 0) {
@@ -456,6 +470,16 @@
     }
     load.m_calm_ms =
         std::chrono::duration_cast<Millis>(moment.m_now - last_short).count();
+    const std::int64_t demand = load.m_used_milli + load.m_ready_milli;
+    if (demand > all_demand / 2 && demand > m_machine_milli) {
+      m_last_turn[name] = moment.m_now;
+    }
+    const auto turn = m_last_turn.find(name);
+    if (turn != m_last_turn.end()) {
+      load.m_turn_age_ms =
+          std::chrono::duration_cast<Millis>(moment.m_now - turn->second)
+              .count();
+    }
     if (load.m_machine_milli == 0 && !load.m_standby) {
       load.m_machine_milli = m_machine_milli;
     }
@@ -484,8 +508,16 @@
     m_next_log = moment.m_now + kLogInterval;
     LogPools(loads);
   }
+  const double interval_s =
+      std::chrono::duration<double>(m_options.m_balance_interval).count();
+  m_moves_left = std::min(
+      m_moves_left + kSteadyShare * m_options.m_orders_per_s * interval_s,
+      kBurstShare * m_options.m_orders_per_s);
+  placement::BalanceOptions options = m_options.m_balance;
+  options.m_max_moves = static_cast<std::size_t>(m_moves_left);
   for (const placement::PoolMove& move :
-       placement::Balance(std::move(loads), m_options.m_balance)) {
+       placement::Balance(std::move(loads), options)) {
+    m_moves_left -= 1;
     Work& work = Begin(move.m_machine, m_state.FindRunnerOf(move.m_machine),
                        moment.m_now);
     work.m_action = fleet::MachineAction::kMove;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -51,6 +51,12 @@
   return options;
 }
 
+// A member runs on one executor that handles one event at a time.
+net::TargetPoolOptions SerialPool(net::TargetPoolOptions options) {
+  options.m_is_serial = true;
+  return options;
+}
+
 // A folder that cannot be read counts as a lost disk: the member comes back
 // as a new generation, which votes on nothing that it forgot.
 void ClearFolder(const std::string& folder) {
@@ -125,7 +131,7 @@
                                         std::move(m_store->recovered().m_state),
                                         CurrentMoment())),
       m_link(executor, m_settings.m_name, m_settings.m_seeds),
-      m_pool(executor, m_settings.m_connections),
+      m_pool(executor, SerialPool(m_settings.m_connections)),
       m_tick(executor) {}
 
 Result<void> MemberNode::Start() {
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -18,6 +18,9 @@
 // While work waits, a plan is made this often even when nothing changed:
 // runners become usable again and jobs change their standing.
 constexpr Duration kPlanInterval = Millis(100);
+// Plans follow each other no closer: each looks at all runners and active
+// jobs, and in a burst the ends of several commits share one plan.
+constexpr Duration kMinPlanPause = Millis(15);
 constexpr Duration kSecond = Millis(1000);
 // A sync takes 9 ms on the users' machines; thirty times that is a fault.
 constexpr Duration kDiskStall = Millis(300);
@@ -46,7 +49,9 @@
     LeaveStalledDisk();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
-      m_machines.Tick(moment, !m_assigning.empty());
+      m_machines.Tick(
+          moment, {m_next_token,
+                   m_assigning.empty() ? m_next_token : *m_assigning.begin()});
     }
     for (wire::WorkBodyUnion& body : m_machines.TakeCommands()) {
       AddCommand(std::move(body));
@@ -352,11 +357,13 @@
 
 void WorkCore::PlanWork() {
   if (!CanServe(m_moment.m_now) || !m_assigning.empty() ||
+      m_moment.m_now < m_last_plan + kMinPlanPause ||
       !(m_plan_wanted || m_moment.m_now >= m_next_plan)) {
     return;
   }
   m_plan_wanted = false;
   m_next_plan = m_moment.m_now + kPlanInterval;
+  m_last_plan = m_moment.m_now;
   placement::PlanInput input(m_state);
   input.m_now_ms = m_moment.m_wall_ms;
   input.m_is_usable = [this](const std::string& runner) {
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -73,25 +73,34 @@
   return ranked;
 }
 
-std::map<std::string, std::int64_t> ReadyMilli(const jobs::WorkState& state,
-                                               std::uint64_t now_ms) {
-  std::map<std::string, std::int64_t> ready;
+std::map<std::string, PoolDemand> Demands(const jobs::WorkState& state,
+                                          std::uint64_t now_ms) {
+  std::map<std::string, PoolDemand> demands;
   for (const RankedJob& ranked : RankJobs(state, now_ms)) {
     if (ranked.m_standing == Standing::kHopeless) {
       continue;
     }
     const jobs::Job& job = *ranked.m_job;
+    PoolDemand& demand = demands[ranked.m_queue->pool];
     for (const auto& [number, occurrence] : job.m_occurrences) {
       for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
-        const std::uint32_t waiting = occurrence.m_steps[step].m_waiting;
-        if (waiting > 0 && job.IsStepOpen(occurrence, step)) {
-          ready[ranked.m_queue->pool] +=
-              waiting * jobs::RoomOf(*job.m_spec.steps[step]).m_cpu_milli;
+        const jobs::StepState& tasks = occurrence.m_steps[step];
+        const wire::StepSpecT& spec = *job.m_spec.steps[step];
+        if (tasks.m_waiting == 0 || !job.IsStepOpen(occurrence, step)) {
+          continue;
+        }
+        demand.m_ready_milli +=
+            tasks.m_waiting * jobs::RoomOf(spec).m_cpu_milli;
+        if (spec.max_per_runner > 0) {
+          const std::int64_t at_once = tasks.m_waiting + tasks.m_assigned;
+          demand.m_spread =
+              std::max(demand.m_spread, (at_once + spec.max_per_runner - 1) /
+                                            spec.max_per_runner);
         }
       }
     }
   }
-  return ready;
+  return demands;
 }
 
 }  // namespace bronzebarrow::placement
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -115,6 +115,9 @@
       Candidate* const best =
           Best(ranked, key, spec, task, need, on_rack, candidates);
       if (best == nullptr) {
+        if (spec.lasting) {
+          Reserve(spec, need, candidates);
+        }
         if (!spec.gang && spec.required_label.empty() &&
             spec.max_per_runner == 0 && !ranked.m_queue->needs_advice) {
           pool.m_too_large.push_back(need);
@@ -171,11 +174,8 @@
     for (Candidate& candidate : candidates) {
       const jobs::Runner& runner = *candidate.m_runner;
       const std::string& id = runner.m_record.id;
-      if (!candidate.m_free.Fits(need) ||
-          (!spec.required_label.empty() &&
-           !HasLabel(runner, spec.required_label)) ||
-          (spec.max_per_runner > 0 &&
-           candidate.m_of_step >= spec.max_per_runner)) {
+      if (candidate.m_reserved || !candidate.m_free.Fits(need) ||
+          !Allows(spec, candidate)) {
         continue;
       }
       if (ranked.m_queue->needs_advice &&
@@ -207,6 +207,36 @@
     return best;
   }
 
+  // Keeps a runner free of new work until a task that lasts fits: in a backlog
+  // of small tasks no runner would ever have room for a large one. The one with
+  // the most room is taken; it gains room in each pass until the task fits.
+  static void Reserve(const wire::StepSpecT& spec, const jobs::Room& need,
+                      std::vector<Candidate>& candidates) {
+    Candidate* best = nullptr;
+    for (Candidate& candidate : candidates) {
+      const wire::RunnerRecordT& record = candidate.m_runner->m_record;
+      const jobs::Room whole = {record.cpu_milli, record.memory_mb, record.gpu};
+      if (candidate.m_reserved || candidate.m_is_due || !whole.Fits(need) ||
+          !Allows(spec, candidate)) {
+        continue;
+      }
+      if (best == nullptr ||
+          candidate.m_free.m_cpu_milli > best->m_free.m_cpu_milli) {
+        best = &candidate;
+      }
+    }
+    if (best != nullptr) {
+      best->m_reserved = true;
+    }
+  }
+
+  static bool Allows(const wire::StepSpecT& spec, const Candidate& candidate) {
+    return (spec.required_label.empty() ||
+            HasLabel(*candidate.m_runner, spec.required_label)) &&
+           (spec.max_per_runner == 0 ||
+            candidate.m_of_step < spec.max_per_runner);
+  }
+
   // Notes where tasks of the step are, before more of them are placed.
   void CountStep(const jobs::StepState& state,
                  std::vector<Candidate>& candidates,
--- a/src/placement/pool_balance.cc
+++ b/src/placement/pool_balance.cc
@@ -10,14 +10,18 @@
 // Machines the pool needs for what it runs and what could start now.
 std::int64_t Needed(const PoolLoad& pool, const BalanceOptions& options) {
   if (pool.m_machine_milli <= 0) {
-    return pool.m_machines;
+    return std::max(pool.m_machines, pool.m_spread);
   }
   const double machines =
       static_cast<double>(pool.m_used_milli + pool.m_ready_milli) /
           static_cast<double>(pool.m_machine_milli) +
       options.m_reserve;
-  return std::max(static_cast<std::int64_t>(std::ceil(machines)),
-                  options.m_min_machines);
+  return std::max({static_cast<std::int64_t>(std::ceil(machines)),
+                   options.m_min_machines, pool.m_spread});
+}
+
+bool HasIdle(const PoolLoad& pool) {
+  return !pool.m_movable.empty() && pool.m_movable.back().m_used_milli == 0;
 }
 
 // @return the pool with the most machines to spare; null when none has one.
@@ -28,7 +32,7 @@
   for (PoolLoad* const donor : donors) {
     const std::int64_t spare = donor->m_machines - Needed(*donor, options);
     if (spare > best_spare && !donor->m_movable.empty() &&
-        (!only_idle || donor->m_movable.back().m_used_milli == 0)) {
+        (!only_idle || HasIdle(*donor))) {
       best = donor;
       best_spare = spare;
     }
@@ -36,6 +40,24 @@
   return best;
 }
 
+// The pools whose turn may be next: turns go round, so it is one that had none
+// yet, or else the one whose last turn was longest ago.
+std::vector<PoolLoad*> NextInTurn(const std::vector<PoolLoad*>& pools) {
+  std::vector<PoolLoad*> next;
+  for (PoolLoad* const pool : pools) {
+    if (pool->m_turn_age_ms == 0) {
+      continue;
+    }
+    if (!next.empty() && next[0]->m_turn_age_ms < pool->m_turn_age_ms) {
+      next.clear();
+    }
+    if (next.empty() || next[0]->m_turn_age_ms == pool->m_turn_age_ms) {
+      next.push_back(pool);
+    }
+  }
+  return next;
+}
+
 }  // namespace
 
 std::vector<PoolMove> Balance(std::vector<PoolLoad> pools,
@@ -89,14 +111,33 @@
       take(*best, *pool);
     }
   }
+  std::int64_t calm_ms = std::numeric_limits<std::int64_t>::max();
+  for (const PoolLoad& pool : pools) {
+    calm_ms = pool.m_standby ? calm_ms : std::min(calm_ms, pool.m_calm_ms);
+  }
+  if (calm_ms < options.m_wait_for_turn_ms) {
+    const std::vector<PoolLoad*> next = NextInTurn(donors);
+    for (PoolLoad* const donor : donors) {
+      const bool waits_already =
+          std::find(next.begin(), next.end(), donor) != next.end();
+      while (!next.empty() && !waits_already &&
+             donor->m_calm_ms >= options.m_turn_over_ms && HasIdle(*donor) &&
+             donor->m_machines > Needed(*donor, options) &&
+             moves.size() < options.m_max_moves) {
+        take(*donor, **std::min_element(next.begin(), next.end(),
+                                        [](const auto* a, const auto* b) {
+                                          return a->m_machines < b->m_machines;
+                                        }));
+      }
+    }
+    return moves;
+  }
   if (standby == nullptr) {
     return moves;
   }
   for (PoolLoad* const donor : donors) {
     while (donor->m_calm_ms >= options.m_rest_after_ms &&
-           donor->m_machines > Needed(*donor, options) &&
-           !donor->m_movable.empty() &&
-           donor->m_movable.back().m_used_milli == 0 &&
+           donor->m_machines > Needed(*donor, options) && HasIdle(*donor) &&
            moves.size() < options.m_max_moves) {
       take(*donor, *standby);
     }
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -618,6 +618,7 @@
     return;
   }
   const jobs::JobId id = *std::prev(m_accepted.end());
+  m_cancels_sent.insert(id);
   wire::CancelCallT cancel;
   cancel.host = kHost;
   cancel.path = kPrefix + jobs::JobIdText(id);
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -69,6 +69,8 @@
   std::size_t runners() const { return m_runners.size(); }
   const std::set<jobs::JobId>& accepted() const { return m_accepted; }
   const std::set<jobs::JobId>& cancelled() const { return m_cancelled; }
+  /** Jobs that a caller asked to cancel, acknowledged or not. */
+  const std::set<jobs::JobId>& cancels_sent() const { return m_cancels_sent; }
   const jobs::WorkState& state(std::size_t member) const {
     return m_members[member].m_core->state();
   }
@@ -138,6 +140,7 @@
   std::set<jobs::JobId> m_submitted;
   std::set<jobs::JobId> m_accepted;
   std::set<jobs::JobId> m_cancelled;
+  std::set<jobs::JobId> m_cancels_sent;
   std::set<jobs::TaskKey> m_done;  // Ends as done that were taken note of.
   std::map<jobs::TaskKey, std::uint32_t> m_failed;
   std::map<jobs::JobId, std::uint32_t> m_lasting;  // Tasks of each job.
