Put runners aside that fail or stall all they start; no call from a leader that was suspended

Change: the lead is checked again once the connection is there. RunnerHealth counts jobs that failed on a runner with none done in between: three put it aside for 1.5 s, doubling to 6 s; two runs without progress for 1.5 s are stopped and put it aside too. At most a quarter of a pool is aside, so that jobs which fail everywhere cannot empty it. Tests: dispatcher_test, new (four).

--- a/include/bronzebarrow/runs.h
+++ b/include/bronzebarrow/runs.h
@@ -5,6 +5,7 @@
 
 #include "bronzebarrow/runs/dispatcher.h"
 #include "bronzebarrow/runs/runner_call.h"
+#include "bronzebarrow/runs/runner_health.h"
 #include "bronzebarrow/runs/runner_link.h"
 
 #endif  // BRONZEBARROW_RUNS_H_
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -27,6 +27,8 @@
   Duration m_gather = Millis(15);
   /** Pause before a call that got no answer is tried again. */
   Duration m_retry = Millis(200);
+  /** Runs that last no longer than their work show progress within this. */
+  Duration m_stall = Millis(1500);
 };
 
 /**
@@ -89,6 +91,9 @@
               RunnerLink& link, Instant now);
   void Reconcile(const RunnerCall& call, const RunnerAnswer& answer,
                  RunnerLink& link, Instant now);
+  void PutAside(const std::string& runner, RunnerLink& link, const char* cause,
+                Instant now);
+  void StopStalled(const std::string& runner, RunnerLink& link, Instant now);
   void Remove(const std::string& runner, const RunnerLink& link,
               AnswerKind cause);
   void LoseRuns(const std::string& runner, RunnerLink& link,
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -8,6 +8,7 @@
 
 #include "bronzebarrow/base/time.h"
 #include "bronzebarrow/jobs.h"
+#include "bronzebarrow/runs/runner_health.h"
 
 namespace bronzebarrow::runs {
 
@@ -35,6 +36,7 @@
   std::uint32_t m_load = 0;      // As in RunningRow.
   std::uint32_t m_pace = 100;    // Percent the run was told to work at.
   Instant m_listed;              // When the runner last listed it.
+  Instant m_advanced;            // When its progress last changed.
 };
 
 struct RunnerLink {
@@ -53,7 +55,8 @@
   Instant m_last_answer;
   std::uint32_t m_silences = 0;  // Calls in a row without an answer.
   bool m_lapsed = false;         // All leases have passed; nothing runs there.
-  Instant m_avoid_until;         // It refused work, or failed it.
+  Instant m_avoid_until;         // It refused work.
+  RunnerHealth m_health;
   std::unordered_map<jobs::TaskKey, RunOrder> m_orders;
 };
 
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -399,6 +399,16 @@
   if (!connection) {
     co_return std::nullopt;
   }
+  // Only a leader calls runners and the platform. One that was suspended while
+  // it connected may have a successor, which has ordered something else since.
+  if (!m_core->CanServe(Now())) {
+    m_pool.Release(target, connection);
+    EventLine(Event::kCallUncertain, Severity::kWarning)
+        .Field("call", std::string_view(request.target()))
+        .Field("address", address)
+        .Field("why", "not sent: the lead was not confirmed in time");
+    co_return std::nullopt;
+  }
   request.set(boost::beast::http::field::host, address);
   request.prepare_payload();
   net::ExchangeResult result = co_await m_pool.Exchange(
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -19,6 +19,12 @@
 // A runner that left this many calls unanswered in a row gets no new work.
 constexpr std::uint32_t kMaxSilences = 1;
 
+// One runner of a pool in this many may be put aside at once.
+constexpr std::size_t kPoolsPartAside = 4;
+// Runs of one runner that stand still at the same time; a single one may have
+// a fault of its own.
+constexpr std::size_t kMinStalled = 2;
+
 std::uint64_t ToMillis(Duration duration) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<Millis>(duration).count());
@@ -85,7 +91,8 @@
 bool Dispatcher::IsUsable(const std::string& runner, Instant now) const {
   const RunnerLink* const link = FindLink(runner);
   return link != nullptr && link->m_fenced && !link->m_lapsed &&
-         link->m_silences < kMaxSilences && now >= link->m_avoid_until;
+         link->m_silences < kMaxSilences && now >= link->m_avoid_until &&
+         !link->m_health.IsAside(now);
 }
 
 void Dispatcher::SetTicket(const jobs::TaskKey& task, std::string ticket) {
@@ -556,6 +563,10 @@
       continue;
     }
     order->second.m_checkpoint = row.m_checkpoint;
+    if (order->second.m_progress != row.m_percent ||
+        order->second.m_advanced == Instant()) {
+      order->second.m_advanced = now;
+    }
     order->second.m_progress = row.m_percent;
     order->second.m_load = row.m_load;
     order->second.m_listed = now;
@@ -581,12 +592,18 @@
     order->second.m_listed = now;
     order->second.m_state = OrderState::kLosing;
     ends.ends.push_back(MakeEnd(row.m_run, row.m_how, row.m_checkpoint));
+    if (link.m_health.NoteEnd(row.m_run.m_task.m_job, row.m_how)) {
+      PutAside(call.m_runner, link, "failed all it was given", now);
+    }
     EventLine(Event::kRunEnded)
         .Field("task", jobs::TaskText(row.m_run.m_task))
         .Field("run", row.m_run.m_run)
         .Field("runner", call.m_runner)
         .Field("how", wire::EnumNameEndKind(row.m_how));
   }
+  if (answer.m_ended.empty()) {
+    StopStalled(call.m_runner, link, now);
+  }
   if (ends.seen > call.m_seen) {
     link.m_ends_out = true;
     link.m_next_hold = now + m_options.m_gather;
@@ -610,4 +627,64 @@
   LoseRuns(call.m_runner, link, lost, "not listed");
 }
 
+// Only a share of a pool is put aside, so that jobs which fail everywhere
+// cannot take all of it out of use.
+void Dispatcher::PutAside(const std::string& runner, RunnerLink& link,
+                          const char* cause, Instant now) {
+  const jobs::Runner* const known = m_state.FindRunner(runner);
+  if (known == nullptr || link.m_health.IsAside(now)) {
+    return;
+  }
+  std::size_t pool = 0;
+  std::size_t aside = 0;
+  for (const auto& [id, other] : m_links) {
+    const jobs::Runner* const peer = m_state.FindRunner(id);
+    if (peer != nullptr && peer->m_record.pool == known->m_record.pool) {
+      ++pool;
+      aside += other.m_health.IsAside(now) ? 1 : 0;
+    }
+  }
+  if ((aside + 1) * kPoolsPartAside > pool) {
+    return;
+  }
+  link.m_health.PutAside(now);
+  EventLine(Event::kRunnerAside, Severity::kWarning)
+      .Field("runner", runner)
+      .Field("cause", cause)
+      .Field("aside", aside + 1)
+      .Field("pool", known->m_record.pool)
+      .Field("runners", pool);
+}
+
+// Runs that make no progress are started again on other runners. Gangs are
+// left: stopping one member breaks them all.
+void Dispatcher::StopStalled(const std::string& runner, RunnerLink& link,
+                             Instant now) {
+  std::vector<jobs::TaskKey> stalled;
+  for (const auto& [task, order] : link.m_orders) {
+    if (order.m_state != OrderState::kStarted || order.m_stop_wanted ||
+        order.m_listed != now || now < order.m_advanced + m_options.m_stall) {
+      continue;
+    }
+    const wire::StepSpecT* const step = m_state.FindStep(task);
+    if (step != nullptr && !step->lasting && !step->gang) {
+      stalled.push_back(task);
+    }
+  }
+  if (stalled.size() < kMinStalled) {
+    return;
+  }
+  PutAside(runner, link, "its runs stand still", now);
+  if (!link.m_health.IsAside(now)) {
+    return;
+  }
+  for (const jobs::TaskKey& task : stalled) {
+    EventLine(Event::kRunStopped, Severity::kWarning)
+        .Field("task", jobs::TaskText(task))
+        .Field("runner", runner)
+        .Field("why", "no progress");
+    StopRun(runner, task, now);
+  }
+}
+
 }  // namespace bronzebarrow::runs
--- /dev/null
+++ b/tests/dispatcher_test.cc
@@ -0,0 +1,215 @@
+// The owner's side of runs: runners that fail or stall all they start.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/runs.h"
+
+namespace bronzebarrow::runs {
+namespace {
+
+constexpr std::uint64_t kBornMs = 1000;
+constexpr std::uint32_t kRunners = 8;
+
+class DispatcherTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatcherTest);
+  CPPUNIT_TEST(RunnerThatFailsAllIsPutAside);
+  CPPUNIT_TEST(JobsThatFailEverywhereBlameNobody);
+  CPPUNIT_TEST(OnlyAPartOfAPoolIsPutAside);
+  CPPUNIT_TEST(RunsThatStandStillAreStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_now = Instant() + std::chrono::hours(1);
+    m_index = 0;
+    m_next_end = 0;
+    m_state = std::make_unique<jobs::WorkState>();
+    m_dispatcher = std::make_unique<Dispatcher>(*m_state, DispatcherOptions());
+    for (std::uint32_t i = 0; i < kRunners; ++i) {
+      wire::RegisterRunnerT runner;
+      runner.runner = std::make_unique<wire::RunnerRecordT>();
+      runner.runner->id = Name(i);
+      runner.runner->born_ms = kBornMs;
+      runner.runner->pool = "pool";
+      runner.runner->cpu_milli = 32'000;
+      Apply(std::move(runner));
+    }
+    wire::TakeOwnershipT take;
+    take.member = "owner";
+    Apply(std::move(take));
+    m_dispatcher->Lead(m_state->epoch(), m_now);
+    for (int i = 0; i < 4; ++i) {  // Fences them, then gives a lease.
+      Step(Millis(50));
+    }
+    for (std::uint32_t i = 0; i < kRunners; ++i) {
+      CPPUNIT_ASSERT(m_dispatcher->IsUsable(Name(i), m_now));
+    }
+  }
+
+  // Load pattern: 5% of the runners fail each run for 7 s, fast.
+  void RunnerThatFailsAllIsPutAside() {
+    for (jobs::JobId job = 1; job <= 3; ++job) {
+      CPPUNIT_ASSERT(m_dispatcher->IsUsable(Name(0), m_now));
+      Assign(job, 1, Name(0));
+      End(0, job, wire::EndKind::Failed);
+    }
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(Name(0), m_now));
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(Name(1), m_now));
+    m_now += Millis(1600);
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(Name(0), m_now));
+    // One more failure is enough now; a run that is done ends the suspicion.
+    Assign(4, 1, Name(0));
+    End(0, 4, wire::EndKind::Failed);
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(Name(0), m_now));
+    m_now += Millis(3100);
+    Assign(5, 1, Name(0));
+    End(0, 5, wire::EndKind::Done);
+    Assign(6, 1, Name(0));
+    End(0, 6, wire::EndKind::Failed);
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(Name(0), m_now));
+  }
+
+  // Load pattern: a job that can never be done is tried again and again.
+  void JobsThatFailEverywhereBlameNobody() {
+    Assign(1, 8, Name(0));
+    for (std::uint16_t index = 0; index < 8; ++index) {
+      End(0, 1, wire::EndKind::Failed, index);
+    }
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(Name(0), m_now));
+  }
+
+  // Load pattern: a burst of jobs that can never be done, on all runners.
+  void OnlyAPartOfAPoolIsPutAside() {
+    jobs::JobId job = 1;
+    for (std::uint32_t i = 0; i < kRunners; ++i) {
+      for (int k = 0; k < 3; ++k, ++job) {
+        Assign(job, 1, Name(i));
+        End(i, job, wire::EndKind::Failed);
+      }
+    }
+    std::uint32_t usable = 0;
+    for (std::uint32_t i = 0; i < kRunners; ++i) {
+      usable += m_dispatcher->IsUsable(Name(i), m_now) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{6}, usable);
+  }
+
+  // Load pattern: tasks on 5% of the runners stand still for 7 s.
+  void RunsThatStandStillAreStopped() {
+    Assign(1, 3, Name(0));
+    std::uint32_t percent = 0;
+    for (int i = 0; i < 40; ++i) {  // They advance.
+      percent += 2;
+      List(1, 3, percent);
+      Step(Millis(100));
+    }
+    CPPUNIT_ASSERT(m_stopped.empty());
+    for (int i = 0; i < 20; ++i) {
+      List(1, 3, percent);
+      Step(Millis(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_stopped.size());
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(Name(0), m_now));
+  }
+
+ private:
+  static std::string Name(std::uint32_t number) {
+    return "r" + std::to_string(number);
+  }
+
+  template <typename Command>
+  void Apply(Command command) {
+    wire::WorkBodyUnion body;
+    body.Set(std::move(command));
+    ApplyBody(std::move(body));
+  }
+  void ApplyBody(wire::WorkBodyUnion body) {
+    wire::WorkCommandT wrapped;
+    wrapped.body = std::move(body);
+    m_dispatcher->OnApplied(m_state->Apply(wrapped, ++m_index), m_now);
+  }
+
+  void Assign(jobs::JobId job, std::uint32_t tasks, const std::string& runner) {
+    wire::AcceptJobT accept;
+    accept.queue = "queue";
+    accept.job = std::make_unique<wire::JobSpecT>();
+    accept.job->id = jobs::JobIdText(job);
+    accept.job->steps.push_back(std::make_unique<wire::StepSpecT>());
+    accept.job->steps.back()->count = tasks;
+    Apply(std::move(accept));
+    wire::AssignRunsT assign;
+    assign.runner = runner;
+    assign.born_ms = kBornMs;
+    for (std::uint16_t index = 0; index < tasks; ++index) {
+      assign.tasks.push_back(jobs::ToWire({{job, 0, 0, index}, 1}));
+    }
+    Apply(std::move(assign));
+    Step(Millis(0));
+  }
+
+  // The runner lists one end; what the dispatcher makes of it is applied.
+  void End(std::uint32_t runner, jobs::JobId job, wire::EndKind how,
+           std::uint16_t index = 0) {
+    m_end = {++m_next_end, {{job, 0, 0, index}, 1}, how, ""};
+    m_end_of = Name(runner);
+    for (int i = 0; i < 4 && m_end; ++i) {
+      Step(Millis(20));
+    }
+    CPPUNIT_ASSERT(!m_end);
+  }
+
+  void List(jobs::JobId job, std::uint16_t tasks, std::uint32_t percent) {
+    m_running.clear();
+    for (std::uint16_t index = 0; index < tasks; ++index) {
+      m_running.push_back({{{job, 0, 0, index}, 1}, "", percent, 0});
+    }
+  }
+
+  // Time passes; every call is answered.
+  void Step(Duration span) {
+    m_now += span;
+    m_dispatcher->Tick(m_now);
+    for (const RunnerCall& call : m_dispatcher->TakeCalls()) {
+      RunnerAnswer answer;
+      answer.m_kind = AnswerKind::kOk;
+      answer.m_born_ms = kBornMs;
+      answer.m_clock_ms =
+          1 + static_cast<std::uint64_t>(
+                  std::chrono::duration_cast<Millis>(m_now.time_since_epoch())
+                      .count());
+      if (call.m_kind == CallKind::kHold) {
+        if (m_end && call.m_runner == m_end_of) {
+          answer.m_ended.push_back(*m_end);
+          m_end.reset();
+        } else if (call.m_runner == Name(0)) {
+          answer.m_running = m_running;
+        }
+      } else if (call.m_kind == CallKind::kStop) {
+        m_stopped.push_back(call.m_run);
+      }
+      m_dispatcher->OnAnswer(call, answer, m_now);
+    }
+    for (wire::WorkBodyUnion& body : m_dispatcher->TakeCommands()) {
+      ApplyBody(std::move(body));
+    }
+  }
+
+  Instant m_now;
+  std::uint64_t m_index = 0;
+  std::uint64_t m_next_end = 0;
+  std::unique_ptr<jobs::WorkState> m_state;
+  std::unique_ptr<Dispatcher> m_dispatcher;
+  std::optional<EndedRow> m_end;
+  std::string m_end_of;
+  std::vector<RunningRow> m_running;
+  std::vector<jobs::RunKey> m_stopped;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
+
+}  // namespace
+}  // namespace bronzebarrow::runs
