--- a/tests/process_platform.sh
+++ b/tests/process_platform.sh
@@ -48,8 +48,21 @@
   done
 }
 declare -A pid_of
+
+# Settings are checked without starting anything.
+printf 'node_name: "x"\nip: "127.0.0.1"\n' >"$folder/short.yaml"
+printf 'node_name: [\n' >"$folder/broken.yaml"
+for bad in short broken missing; do
+  if "$build/bronzebarrow-platform" check "$folder/$bad.yaml" \
+    >"$folder/check.txt" 2>&1; then
+    echo "check took bad settings: $bad"
+    exit 1
+  fi
+  [ -s "$folder/check.txt" ] || { echo "check says nothing: $bad"; exit 1; }
+done
 for i in 1 2 3; do start "m$i" member "127.0.0.$i" true; done
 start e1 entry 127.0.0.4 true
+"$build/bronzebarrow-platform" check "$folder/m1.yaml"
 
 "$build/platform_standin" --front=127.0.0.4:21001 \
   --controls=127.0.0.1:21003,127.0.0.2:21003,127.0.0.3:21003 "$@" &
