Order machines for what will have come when they are there; mend two limits

Ruled out: the platform's rate (it allows 100 in half a second) and the processor (the turn was at 60 jobs in 2 s). Change: waiting demand counts twice in what a pool needs. A platform with fewer than four orders a second would never have got one (machine_planner_test, failed before). Tasks of minutes advance by less than a percent in 1.5 s and would have been stopped as stalled; they may stand still for a fifth of their estimate, and fill work is left (dispatcher_test). Test: placement_test ATurnThatBeginsGetsMachinesAheadOfItsDemand.

--- a/include/bronzebarrow/placement/pool_balance.h
+++ b/include/bronzebarrow/placement/pool_balance.h
@@ -60,6 +60,11 @@
   /** An idle machine of a pool that was calm for this long may wait elsewhere.
    */
   std::int64_t m_turn_over_ms = 1000;
+  /**
+   * Demand expected for each unit that waits: at the beginning of a turn about
+   * as much again comes while the machines are on their way (1.5 s).
+   */
+  double m_rush = 2.0;
   /** Machines of processor kept free beyond what is used. */
   double m_reserve = 0.5;
   std::size_t m_max_moves = 12;  // Begun at once.
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -512,7 +512,7 @@
       std::chrono::duration<double>(m_options.m_balance_interval).count();
   m_moves_left = std::min(
       m_moves_left + kSteadyShare * m_options.m_orders_per_s * interval_s,
-      kBurstShare * m_options.m_orders_per_s);
+      std::max(1.0, kBurstShare * m_options.m_orders_per_s));
   placement::BalanceOptions options = m_options.m_balance;
   options.m_max_moves = static_cast<std::size_t>(m_moves_left);
   for (const placement::PoolMove& move :
--- a/src/placement/pool_balance.cc
+++ b/src/placement/pool_balance.cc
@@ -7,13 +7,15 @@
 namespace bronzebarrow::placement {
 namespace {
 
-// Machines the pool needs for what it runs and what could start now.
+// Machines the pool needs for what it runs, for what could start now, and for
+// what will have come by the time that more machines are there.
 std::int64_t Needed(const PoolLoad& pool, const BalanceOptions& options) {
   if (pool.m_machine_milli <= 0) {
     return std::max(pool.m_machines, pool.m_spread);
   }
   const double machines =
-      static_cast<double>(pool.m_used_milli + pool.m_ready_milli) /
+      (static_cast<double>(pool.m_used_milli) +
+       options.m_rush * static_cast<double>(pool.m_ready_milli)) /
           static_cast<double>(pool.m_machine_milli) +
       options.m_reserve;
   return std::max({static_cast<std::int64_t>(std::ceil(machines)),
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -24,6 +24,9 @@
 // Runs of one runner that stand still at the same time; a single one may have
 // a fault of its own.
 constexpr std::size_t kMinStalled = 2;
+// Progress is listed in whole percent, so a long task seldom shows any. It may
+// stand still for this part of its estimate, which may be far too low.
+constexpr std::uint32_t kStallPart = 5;
 
 std::uint64_t ToMillis(Duration duration) {
   return static_cast<std::uint64_t>(
@@ -667,7 +670,9 @@
       continue;
     }
     const wire::StepSpecT* const step = m_state.FindStep(task);
-    if (step != nullptr && !step->lasting && !step->gang) {
+    // Fill work may rightly get no processor for a while.
+    if (step != nullptr && !step->lasting && !step->gang && !step->fills &&
+        now >= order.m_advanced + Millis(step->estimate_ms / kStallPart)) {
       stalled.push_back(task);
     }
   }
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(JobsThatFailEverywhereBlameNobody);
   CPPUNIT_TEST(OnlyAPartOfAPoolIsPutAside);
   CPPUNIT_TEST(RunsThatStandStillAreStopped);
+  CPPUNIT_TEST(LongTasksMayShowNoProgressForLonger);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -27,6 +28,9 @@
     m_now = Instant() + std::chrono::hours(1);
     m_index = 0;
     m_next_end = 0;
+    m_estimate_ms = 0;
+    m_running.clear();
+    m_stopped.clear();
     m_state = std::make_unique<jobs::WorkState>();
     m_dispatcher = std::make_unique<Dispatcher>(*m_state, DispatcherOptions());
     for (std::uint32_t i = 0; i < kRunners; ++i) {
@@ -116,6 +120,21 @@
     CPPUNIT_ASSERT(!m_dispatcher->IsUsable(Name(0), m_now));
   }
 
+  // Load pattern: tasks of several minutes advance by a percent in seconds.
+  void LongTasksMayShowNoProgressForLonger() {
+    m_estimate_ms = 60'000;
+    Assign(1, 3, Name(0));
+    List(1, 3, 1);
+    for (int i = 0; i < 100; ++i) {
+      Step(Millis(100));
+    }
+    CPPUNIT_ASSERT(m_stopped.empty());
+    for (int i = 0; i < 40; ++i) {
+      Step(Millis(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_stopped.size());
+  }
+
  private:
   static std::string Name(std::uint32_t number) {
     return "r" + std::to_string(number);
@@ -140,6 +159,7 @@
     accept.job->id = jobs::JobIdText(job);
     accept.job->steps.push_back(std::make_unique<wire::StepSpecT>());
     accept.job->steps.back()->count = tasks;
+    accept.job->steps.back()->estimate_ms = m_estimate_ms;
     Apply(std::move(accept));
     wire::AssignRunsT assign;
     assign.runner = runner;
@@ -201,6 +221,7 @@
   Instant m_now;
   std::uint64_t m_index = 0;
   std::uint64_t m_next_end = 0;
+  std::uint32_t m_estimate_ms = 0;
   std::unique_ptr<jobs::WorkState> m_state;
   std::unique_ptr<Dispatcher> m_dispatcher;
   std::optional<EndedRow> m_end;
--- a/tests/machine_planner_test.cc
+++ b/tests/machine_planner_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(PlansBackToBackDoNotHoldAMachine);
   CPPUNIT_TEST(AnOpenPlanHoldsItsMachine);
   CPPUNIT_TEST(OrdersStayWithinThePlatformsRate);
+  CPPUNIT_TEST(ASlowPlatformStillGetsOrders);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -132,6 +133,19 @@
     CPPUNIT_ASSERT(OrdersWithin(Millis(1000)).size() <= kRate);
   }
 
+  // A platform that takes two orders a second.
+  void ASlowPlatformStillGetsOrders() {
+    MachineOptions options;
+    options.m_holder = "holder";
+    options.m_orders_per_s = 2;
+    m_planner =
+        std::make_unique<MachinePlanner>(*m_state, *m_dispatcher, options);
+    m_planner->Lead(m_state->epoch(), m_now);
+    List(fleet::MachineState::kUp);
+    Submit();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OrdersWithin(Millis(2000)).size());
+  }
+
  private:
   void StartWave(const std::string& machine) {
     wire::StartUpkeepT wave;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(PoolsKeepTheMachinesThatOneStepMustHave);
   CPPUNIT_TEST(LaterStepsWaitForEarlierOnes);
   CPPUNIT_TEST(ShortPoolTakesIdleThenRestingThenBusyMachines);
+  CPPUNIT_TEST(ATurnThatBeginsGetsMachinesAheadOfItsDemand);
   CPPUNIT_TEST(IdleMachinesWaitWhereTheNextTurnMayBe);
   CPPUNIT_TEST(CalmPoolRestsOnlyIdleMachines);
   CPPUNIT_TEST(ShortPoolsDoNotGiveMachinesAway);
@@ -204,6 +205,20 @@
     }
   }
 
+  // Load pattern: a turn begins; the demand of its pool grows for seconds, and
+  // machines that were ordered for what waited already came too late for what
+  // had come meanwhile.
+  void ATurnThatBeginsGetsMachinesAheadOfItsDemand() {
+    PoolLoad over = Load("over", 12, 0, 0);
+    for (int i = 0; i < 10; ++i) {
+      over.m_movable.push_back({"o" + std::to_string(i), 0});
+    }
+    const PoolLoad begins = Load("begins", 2, 2 * kMachine, 3 * kMachine);
+    // Two are in use, six for twice what waits, one more in reserve.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7},
+                         Balance({over, begins}, BalanceOptions()).size());
+  }
+
   // Load pattern: four queues take turns of 5 s; the pool whose turn begins had
   // 10 of the 170 machines it needs, the others came a move later.
   void IdleMachinesWaitWhereTheNextTurnMayBe() {
