--- a/tests/platform_standin.cc
+++ b/tests/platform_standin.cc
@@ -327,7 +327,7 @@
                          {"mem_mb", 512},
                          {"estimate_ms", FLAGS_task_ms}};
     json::object second = step;
-    second["depends_on"] = {0};
+    second["depends_on"] = json::array{0};
     const json::object body = {{"spec", "x"}, {"steps", {step, second}}};
     const Instant begun = Now();
     bool accepted = false;
