--- a/include/bronzebarrow/consensus/log_store.h
+++ b/include/bronzebarrow/consensus/log_store.h
@@ -54,8 +54,9 @@
   Recovered& recovered() { return m_recovered; }
 
   /**
-   * Writes and syncs a batch. After a failure the store must not be used
-   * again, because the content of the disk is then undefined.
+   * Writes and syncs a batch. After a failure nothing of the batch counts as
+   * stored, and the same batch must be written again before any other: a disk
+   * that is full or rejects writes may accept them later.
    */
   Result<void> Write(const DurableBatchOut& batch);
 
@@ -67,6 +68,7 @@
   Result<void> Recover(const std::string& name);
   Result<void> RecoverLog();
   Result<void> RecoverSnapshot();
+  Result<void> Append(const DurableBatchOut& batch);
   Result<void> ReplaceLog(const DurableBatchOut& batch);
   Result<void> RemoveObsolete(const std::string& log_name,
                               const std::string& snapshot_name);
@@ -75,7 +77,10 @@
   int m_lock_file = -1;  // File descriptor of the lock file; -1 when not open.
   int m_log_file = -1;   // File descriptor of the log file; -1 when not open.
   std::uint64_t m_log_sequence = 0;  // Number in the log file's name.
+  // Length of the log file without the remains of a failed write.
   std::uint64_t m_log_bytes = 0;
+  // Whether the log file may be longer than m_log_bytes.
+  bool m_has_failed_tail = false;
   Recovered m_recovered;
 };
 
--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -88,6 +88,8 @@
   const Task* FindTask(const TaskKey& key) const;
   /** @return whether all steps that step `number` depends on are done. */
   bool IsStepReady(const Occurrence& occurrence, std::size_t number) const;
+  /** @return whether a waiting task belongs to a ready step. */
+  bool HasStartableTask() const;
   /** Creates the next occurrence, with all its tasks waiting. */
   void OpenOccurrence();
 };
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -39,6 +39,9 @@
  public:
   using Jobs = std::map<JobId, Job>;
   using Runners = std::map<std::string, Runner>;
+  /** Active jobs by acceptance number, which increases with each job. */
+  using JobIndex = std::map<std::uint64_t, const Job*>;
+  using RunnerIndex = std::map<std::string, const Runner*>;
 
   WorkState() = default;
   WorkState(const WorkState&) = delete;
@@ -67,6 +70,17 @@
   const wire::StepSpecT* FindStep(const TaskKey& task) const;
   /** Active jobs in the order of acceptance. */
   const std::map<std::uint64_t, JobId>& active() const { return m_active; }
+  /** Active jobs with a task that could start now; see HasStartableTask. */
+  const JobIndex& startable() const { return m_startable; }
+  /** Active periodic jobs with occurrences that are not opened yet. */
+  const JobIndex& periodic() const { return m_periodic; }
+  /** @return the runners of the pool, by id. */
+  const RunnerIndex& RunnersOfPool(const std::string& pool) const;
+  /**
+   * @return the first difference between the indexes and their recomputation
+   * from all jobs and runners; empty if there is none. For tests.
+   */
+  std::string FindIndexError() const;
   /** @return the queue's active jobs that never had a run assigned. */
   std::uint32_t WaitingCount(const std::string& queue) const;
 
@@ -114,6 +128,12 @@
   void AddAssignment(const RunKey& run, const wire::StepSpecT& step,
                      Runner& runner);
   void RemoveAssignment(const TaskKey& key, const std::string& runner);
+  // Removes the runner's entry in m_runners_by_pool, if it has one.
+  void RemoveFromPoolIndex(const Runner& runner);
+  // Updates the job's entries in m_startable and m_periodic.
+  void UpdateJobIndexes(const Job& job);
+  // Marks the job as started, once.
+  void MarkStarted(Job& job);
   // Recomputes the machine's entry in m_latest_runner_of_machine.
   void UpdateMachineIndex(const std::string& machine);
   void FinishOccurrenceIfDone(Job& job, std::uint32_t number,
@@ -130,7 +150,15 @@
   // Acceptance number of each job in m_active.
   std::unordered_map<JobId, std::uint64_t> m_acceptance_numbers;
   std::uint64_t m_next_acceptance_number = 1;
+  // Derived from m_jobs, so that a decision costs what can be decided and not
+  // what is stored.
+  JobIndex m_startable;
+  JobIndex m_periodic;
+  // By queue: active jobs that never had a run assigned.
+  std::map<std::string, std::uint32_t> m_unstarted;
   Runners m_runners;
+  // By pool; no entry is empty. Derived from m_runners.
+  std::map<std::string, RunnerIndex> m_runners_by_pool;
   // For each machine, the id of its runner with the greatest born_ms. Derived
   // from m_runners.
   std::unordered_map<std::string, std::string> m_latest_runner_of_machine;
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bronzebarrow/base/time.h"
@@ -88,6 +89,15 @@
   /** @return whether an upkeep of the machine is due in some wave. */
   bool IsUpkeepDue(const std::string& machine) const;
 
+  /** @param milli by pool, as AdmissionControl::RejectedMilli */
+  void SetRejectedDemand(std::map<std::string, std::int64_t> milli) {
+    m_rejected_milli = std::move(milli);
+  }
+  /** @return the outlook of all pools if it was computed since the last call.
+   */
+  std::optional<std::map<std::string, placement::PoolOutlook>> TakeOutlook() {
+    return std::exchange(m_outlook, std::nullopt);
+  }
   std::vector<fleet::MachineRequest> TakeRequests();
   std::vector<wire::WorkBodyUnion> TakeCommands();
   /**
@@ -168,6 +178,8 @@
   std::map<std::string, Instant> m_last_shortage;
   // By pool: when it last had more than half of all demand, its demand peak.
   std::map<std::string, Instant> m_last_peak;
+  std::map<std::string, std::int64_t> m_rejected_milli;  // By pool.
+  std::optional<std::map<std::string, placement::PoolOutlook>> m_outlook;
   double m_allowed_moves = 0;  // Moves that the platform's rate permits now.
   std::int64_t m_largest_machine_milli = 0;  // CPU of the largest machine.
   Instant m_next_balance;
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -25,6 +25,7 @@
   consensus::ReplicaOptions m_replica;
   runs::DispatcherOptions m_dispatcher;
   MachineOptions m_machines;
+  placement::AdmissionOptions m_admission;
   /**
    * A leader whose leadership was last confirmed longer ago than this serves no
    * calls.
@@ -170,6 +171,7 @@
   jobs::WorkState m_state;
   runs::Dispatcher m_dispatcher;
   MachinePlanner m_machine_planner;
+  placement::AdmissionControl m_admission;
   AdviceCache m_advice_cache;
   Moment m_moment;  // Time of the event being handled.
   // When the batch that is being synced was taken; empty when there is none.
--- /dev/null
+++ b/include/bronzebarrow/placement/admission.h
@@ -0,0 +1,124 @@
+// Decides whether a new job is accepted or rejected at once, and when a
+// rejected caller should return. Load pattern: one queue's demand peaks at five
+// times its mean for 4 to 5 s and exceeds what its pool, and all machines that
+// could still be moved there, complete in time; without a limit, every job of
+// the peak waits until it is late. Tests: tests/admission_test.cc,
+// tests/load_replay_test.cc.
+#ifndef BRONZEBARROW_PLACEMENT_ADMISSION_H_
+#define BRONZEBARROW_PLACEMENT_ADMISSION_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bronzebarrow/base/time.h"
+#include "bronzebarrow/jobs.h"
+#include "bronzebarrow/placement/pool_balance.h"
+
+namespace bronzebarrow::placement {
+
+/** Capacity and work of one pool; `milli` are thousandths of a core. */
+struct PoolOutlook {
+  std::int64_t m_capacity_milli = 0;  // Of the usable machines.
+  /** Of m_capacity_milli, what neither assigned nor startable tasks use. */
+  std::int64_t m_free_milli = 0;
+  /** Of machines that move there, or that no other pool needs. */
+  std::int64_t m_arriving_milli = 0;
+  /** As PoolDemand. */
+  std::map<std::uint32_t, std::int64_t> m_waiting_work;
+  std::int64_t m_late_work = 0;
+};
+
+/** @return the outlook of each pool, by name. */
+std::map<std::string, PoolOutlook> OutlookOf(const std::vector<PoolLoad>& pools,
+                                             const BalanceOptions& options);
+
+/** @return the time in milliseconds that the pool takes for `work`. */
+std::int64_t DrainMs(const PoolOutlook& pool, std::int64_t work,
+                     std::int64_t arrival_ms);
+
+struct AdmissionOptions {
+  /** Time until an arriving machine takes tasks: its move and its start. */
+  std::int64_t m_arrival_ms = 2000;
+  /** Time for which a rejected job counts as demand of its pool. */
+  Duration m_demand_memory = Millis(1000);
+  /**
+   * A caller that returns within this time after its first rejection is
+   * recognised. Longer than the time for which callers send a request again.
+   */
+  Duration m_return_memory = Millis(15'000);
+  /** Limits of the time after which a rejected caller is asked to return. */
+  std::int64_t m_min_retry_after_ms = 1000;
+  std::int64_t m_max_retry_after_ms = 10'000;
+};
+
+struct AdmissionDecision {
+  bool m_accepted = true;
+  std::int64_t m_wait_ms = 0;          // Predicted wait for the first task.
+  std::int64_t m_age_ms = 0;           // Time since the job was first rejected.
+  std::uint32_t m_retry_after_ms = 0;  // Set when rejected.
+};
+
+/**
+ * Accepts a job that finds room at once. Else predicts when it would end from
+ * the work that is served before it. The prediction takes every machine that no
+ * pool needs as arriving, so a rejected job could not have met its objective. A
+ * caller that returns too late for that is accepted once no other work waits,
+ * so that it takes no room from jobs that can still be on time. Rejected
+ * callers are given consecutive times to return, at the rate at which the pool
+ * can serve them.
+ */
+class AdmissionControl {
+ public:
+  explicit AdmissionControl(AdmissionOptions options) : m_options(options) {}
+
+  /** Replaces what is known of all pools. */
+  void Update(std::map<std::string, PoolOutlook> pools) {
+    m_pools = std::move(pools);
+  }
+  void Clear();
+
+  /**
+   * An accepted job adds to the work of its pool until the next update. Jobs
+   * without an objective (periodic or long-running) and jobs of pools that are
+   * not known are accepted.
+   */
+  AdmissionDecision Decide(const wire::QueueSpecT& queue, const jobs::Job& job,
+                           Instant now);
+  /**
+   * @return by pool, the CPU that the jobs first rejected of late would use at
+   * once, in thousandths of a core
+   */
+  std::map<std::string, std::int64_t> RejectedMilli(Instant now);
+
+ private:
+  /** The first rejection of a job. */
+  struct Rejection {
+    Instant m_when;
+    jobs::JobId m_job = 0;
+    std::string m_pool;
+    std::int64_t m_milli = 0;
+  };
+
+  bool IsAcceptable(const PoolOutlook& pool, const wire::QueueSpecT& queue,
+                    const jobs::Job& job, AdmissionDecision& decision) const;
+  std::uint32_t NextReturnMs(const PoolOutlook& pool,
+                             const wire::QueueSpecT& queue,
+                             const jobs::Job& job, Instant now);
+  void Forget(Instant now);
+
+  AdmissionOptions m_options;
+  std::map<std::string, PoolOutlook> m_pools;  // By name.
+  std::deque<Rejection> m_rejections;          // Oldest first.
+  // When each job of m_rejections was first rejected.
+  std::unordered_map<jobs::JobId, Instant> m_first_rejected;
+  // By pool: when the caller that was rejected last was asked to return.
+  std::map<std::string, Instant> m_last_return;
+};
+
+}  // namespace bronzebarrow::placement
+
+#endif  // BRONZEBARROW_PLACEMENT_ADMISSION_H_
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -14,6 +14,16 @@
 
 namespace bronzebarrow::placement {
 
+/** A job that ends after this multiple of its objective has no value. */
+constexpr std::int64_t kUsefulObjectiveMultiple = 3;
+
+/**
+ * @param critical_path_ms estimated length of the job's longest chain of steps
+ * @return the time after its acceptance by which a job of the queue should end
+ */
+std::int64_t ObjectiveMs(const wire::QueueSpecT& queue,
+                         std::int64_t critical_path_ms);
+
 /**
  * Whether a job would meet its queue's objective if it were placed now. The
  * order of the values is the order of placement.
@@ -37,17 +47,32 @@
 };
 
 /**
- * @return active jobs with a waiting task: by status, then by the queue's
- * priority value (lowest first), then started jobs first, then in the order of
- * acceptance
+ * @return active jobs with a task that could start now: by status, then by the
+ * queue's priority value (lowest first), then started jobs first, then in the
+ * order of acceptance
  */
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
                                 std::uint64_t now_ms);
 
 /** Demand of the jobs of one pool. */
 struct PoolDemand {
-  /** CPU of the tasks that could start now, in thousandths of a core. */
+  /**
+   * CPU of the tasks that could start now, in thousandths of a core, of jobs
+   * that can still meet their objective or have none.
+   */
   std::int64_t m_ready_milli = 0;
+  /** The same of late jobs. */
+  std::int64_t m_late_milli = 0;
+  /** CPU assigned to tasks of late and expired jobs. */
+  std::int64_t m_late_used_milli = 0;
+  /**
+   * By priority value of the queue: estimated work of the waiting tasks of jobs
+   * that can still meet their objective, in thousandths of a core times
+   * milliseconds.
+   */
+  std::map<std::uint32_t, std::int64_t> m_waiting_work;
+  /** The same of late jobs of all queues. */
+  std::int64_t m_late_work = 0;
   /**
    * Machines that one step needs because its number of tasks per runner is
    * limited; the largest such need of any step.
@@ -55,7 +80,10 @@
   std::int64_t m_spread_machines = 0;
 };
 
-/** @return the demand by pool, without jobs past their useful deadline. */
+/**
+ * @return the demand by pool; tasks that wait of jobs past their useful
+ * deadline do not count
+ */
 std::map<std::string, PoolDemand> DemandByPool(const jobs::WorkState& state,
                                                std::uint64_t now_ms);
 
--- a/include/bronzebarrow/placement/pool_balance.h
+++ b/include/bronzebarrow/placement/pool_balance.h
@@ -3,7 +3,8 @@
 // capacity of its pool, and is almost zero in between. Machines are therefore
 // moved to the pools with demand; idle ones are moved to the pools whose demand
 // peak is expected next, or parked in a standby pool when no peak is expected.
-// Test: tests/placement_test.cc.
+// Jobs of a peak that are already late do not keep machines from the pool whose
+// own peak has begun. Test: tests/placement_test.cc.
 #ifndef BRONZEBARROW_PLACEMENT_POOL_BALANCE_H_
 #define BRONZEBARROW_PLACEMENT_POOL_BALANCE_H_
 
@@ -29,12 +30,24 @@
 struct PoolLoad {
   std::string m_pool;
   bool m_standby = false;
-  std::int64_t m_machine_milli = 0;    // CPU of one machine.
-  std::int64_t m_machines = 0;         // Usable ones, and those moving here.
-  std::int64_t m_used_milli = 0;       // CPU assigned on usable machines.
-  std::int64_t m_ready_milli = 0;      // CPU of tasks that could start now.
+  std::int64_t m_machine_milli = 0;       // CPU of one machine.
+  std::int64_t m_machines = 0;            // Usable ones, and those moving here.
+  std::int64_t m_moving_here = 0;         // Those of m_machines that move here.
+  std::int64_t m_used_milli = 0;          // CPU assigned on usable machines.
+  std::int64_t m_long_running_milli = 0;  // Of it, for long-running tasks.
+  // As PoolDemand: CPU of tasks that could start now or are late, and waiting
+  // work.
+  std::int64_t m_ready_milli = 0;
+  std::int64_t m_late_milli = 0;
+  std::int64_t m_late_used_milli = 0;
+  std::int64_t m_late_work = 0;
+  // CPU that recently rejected jobs would have used: what the pool lacks must
+  // not seem less because its jobs are rejected.
+  std::int64_t m_rejected_milli = 0;
+  std::map<std::uint32_t, std::int64_t> m_waiting_work;
   std::int64_t m_spread_machines = 0;  // As PoolDemand::m_spread_machines.
-  std::int64_t m_no_backlog_ms = 0;  // Time since the pool last had a backlog.
+  // Time since the pool last had a backlog, on time or late.
+  std::int64_t m_no_backlog_ms = 0;
   /**
    * Time since the pool's last demand peak, during which more than half of the
    * demand of all pools is its own; 0: it is at its peak now.
@@ -78,9 +91,21 @@
   double m_demand_growth = 2.0;
   /** CPU kept free beyond the expected demand, in machines. */
   double m_reserve_machines = 0.5;
+  /**
+   * When all pools with demand are short, one with this many machines more than
+   * its share, relative to the share, gives machines to the others.
+   */
+  double m_share_tolerance = 0.25;
   std::size_t m_max_moves = 12;  // In one call of RebalancePools.
 };
 
+/**
+ * @return machines of the pool that neither its assigned tasks nor tasks that
+ * could still be on time need; all movable ones of a standby pool
+ */
+std::int64_t SurplusMachines(const PoolLoad& pool,
+                             const BalanceOptions& options);
+
 /** @return moves to start now, at most one per machine. */
 std::vector<PoolMove> RebalancePools(std::vector<PoolLoad> pools,
                                      const BalanceOptions& options);
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -25,8 +25,12 @@
   Duration m_owner_overlap = Millis(1000);
   /** Longest time a runner delays its response to a hold while no run ends. */
   Duration m_hold_wait = Millis(1000);
-  /** Interval between holds to a runner without runs. */
-  Duration m_idle_hold_interval = Millis(1000);
+  /**
+   * Interval between holds to a runner without runs, which needs no lease. Most
+   * runners are idle between demand peaks, so their holds would be half of all
+   * calls at an interval of a second.
+   */
+  Duration m_idle_hold_interval = Millis(3000);
   /**
    * Delay of the next hold after reported ends, so that several ends share one
    * log record and one hold.
--- a/src/consensus/file.cc
+++ b/src/consensus/file.cc
@@ -33,6 +33,13 @@
   return {};
 }
 
+Result<void> Truncate(int file, off_t bytes, const std::string& path) {
+  if (::ftruncate(file, bytes) != 0 || ::lseek(file, bytes, SEEK_SET) < 0) {
+    return DiskFailure(path);
+  }
+  return {};
+}
+
 Result<void> SyncData(int file, const std::string& path) {
   if (::fdatasync(file) != 0) {
     return DiskFailure(path);
--- a/src/consensus/file.h
+++ b/src/consensus/file.h
@@ -13,6 +13,9 @@
 Result<void> WriteAll(int file, ByteView bytes, const std::string& path);
 
 /** Syncs a file's data to disk. */
+/** Sets the length of the file and continues to write at its end. */
+Result<void> Truncate(int file, off_t bytes, const std::string& path);
+
 Result<void> SyncData(int file, const std::string& path);
 
 /** Syncs a folder to disk, so that created and renamed files are durable. */
--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -214,12 +214,17 @@
                 path + " at byte " + std::to_string(valid_bytes));
   }
   m_log_file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
-  if (m_log_file < 0 ||
-      ::ftruncate(m_log_file, static_cast<off_t>(valid_bytes)) != 0 ||
-      ::lseek(m_log_file, 0, SEEK_END) < 0) {
+  if (m_log_file < 0) {
     return Fail(ErrorCode::kDataFolderUnusable,
                 path + ": " + std::strerror(errno));
   }
+  // A full disk may reject a change of length, so an intact log is not changed.
+  if (rest.empty()) {
+    ::lseek(m_log_file, 0, SEEK_END);
+  } else {
+    BOOST_LEAF_CHECK(
+        Truncate(m_log_file, static_cast<off_t>(valid_bytes), path));
+  }
   m_recovered.m_cut_bytes = rest.size();
   m_log_bytes = valid_bytes;
   return SyncData(m_log_file, path);
@@ -257,11 +262,22 @@
   if (batch.m_snapshot) {
     return ReplaceLog(batch);
   }
+  return Append(batch);
+}
+
+Result<void> LogStore::Append(const DurableBatchOut& batch) {
+  if (m_has_failed_tail) {
+    BOOST_LEAF_CHECK(
+        Truncate(m_log_file, static_cast<off_t>(m_log_bytes), m_folder));
+  }
   const Bytes record =
       EncodeRecord(wire::Encode<wire::DurableBatch>(batch.m_batch));
+  m_has_failed_tail = true;
   BOOST_LEAF_CHECK(WriteAll(m_log_file, record, m_folder));
+  BOOST_LEAF_CHECK(SyncData(m_log_file, m_folder));
+  m_has_failed_tail = false;
   m_log_bytes += record.size();
-  return SyncData(m_log_file, m_folder);
+  return {};
 }
 
 Result<void> LogStore::ReplaceLog(const DurableBatchOut& batch) {
@@ -283,6 +299,7 @@
                 log_path + ": " + std::strerror(errno));
   }
   m_log_bytes = record.size();
+  m_has_failed_tail = false;
   return RemoveObsolete(log_name, snapshot_name);
 }
 
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -92,6 +92,18 @@
                      });
 }
 
+bool Job::HasStartableTask() const {
+  for (const auto& [number, occurrence] : m_occurrences) {
+    for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+      if (occurrence.m_steps[step].m_waiting > 0 &&
+          IsStepReady(occurrence, step)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void Job::OpenOccurrence() {
   Occurrence& occurrence = m_occurrences[m_opened++];
   for (const auto& spec : m_spec.steps) {
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -111,7 +111,11 @@
   m_jobs.clear();
   m_active.clear();
   m_acceptance_numbers.clear();
+  m_startable.clear();
+  m_periodic.clear();
+  m_unstarted.clear();
   m_runners.clear();
+  m_runners_by_pool.clear();
   m_latest_runner_of_machine.clear();
   m_waves.clear();
   for (const auto& runner_image : image->runners) {
@@ -120,6 +124,7 @@
     runner.m_last_recorded_end = runner_image->seen;
   }
   for (const auto& [id, runner] : m_runners) {
+    m_runners_by_pool[runner.m_record.pool][id] = &runner;
     const Runner* const latest =
         FindLatestRunnerOfMachine(runner.m_record.machine);
     if (latest == nullptr ||
@@ -145,6 +150,8 @@
     if (job.m_state == JobState::kActive) {
       m_acceptance_numbers[id] = m_next_acceptance_number;
       m_active[m_next_acceptance_number++] = id;
+      m_unstarted[job.m_queue] += job.m_started ? 0 : 1;
+      UpdateJobIndexes(job);
     }
     for (const auto& [number, occurrence] : job.m_occurrences) {
       for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -89,12 +89,82 @@
 }
 
 std::uint32_t WorkState::WaitingCount(const std::string& queue) const {
-  std::uint32_t count = 0;
+  const auto count = m_unstarted.find(queue);
+  return count == m_unstarted.end() ? 0 : count->second;
+}
+
+const WorkState::RunnerIndex& WorkState::RunnersOfPool(
+    const std::string& pool) const {
+  static const RunnerIndex kNone;
+  const auto runners = m_runners_by_pool.find(pool);
+  return runners == m_runners_by_pool.end() ? kNone : runners->second;
+}
+
+void WorkState::RemoveFromPoolIndex(const Runner& runner) {
+  const auto pool = m_runners_by_pool.find(runner.m_record.pool);
+  if (pool == m_runners_by_pool.end()) {
+    return;
+  }
+  pool->second.erase(runner.m_record.id);
+  if (pool->second.empty()) {
+    m_runners_by_pool.erase(pool);
+  }
+}
+
+void WorkState::UpdateJobIndexes(const Job& job) {
+  const auto number = m_acceptance_numbers.find(job.m_id);
+  if (number == m_acceptance_numbers.end()) {
+    return;
+  }
+  if (job.HasStartableTask()) {
+    m_startable[number->second] = &job;
+  } else {
+    m_startable.erase(number->second);
+  }
+  if (job.m_opened < job.m_spec.times) {
+    m_periodic[number->second] = &job;
+  } else {
+    m_periodic.erase(number->second);
+  }
+}
+
+void WorkState::MarkStarted(Job& job) {
+  if (!job.m_started) {
+    job.m_started = true;
+    --m_unstarted[job.m_queue];
+  }
+}
+
+std::string WorkState::FindIndexError() const {
+  JobIndex startable;
+  JobIndex periodic;
+  std::map<std::string, std::uint32_t> unstarted;
   for (const auto& [number, id] : m_active) {
     const Job& job = m_jobs.at(id);
-    count += job.m_queue == queue && !job.m_started ? 1 : 0;
+    if (job.HasStartableTask()) {
+      startable[number] = &job;
+    }
+    if (job.m_opened < job.m_spec.times) {
+      periodic[number] = &job;
+    }
+    unstarted[job.m_queue] += job.m_started ? 0 : 1;
+  }
+  if (startable != m_startable) {
+    return "startable jobs";
   }
-  return count;
+  if (periodic != m_periodic) {
+    return "periodic jobs";
+  }
+  for (const auto& [queue, count] : m_unstarted) {
+    if (count != unstarted[queue]) {
+      return "unstarted jobs of " + queue;
+    }
+  }
+  std::map<std::string, RunnerIndex> by_pool;
+  for (const auto& [id, runner] : m_runners) {
+    by_pool[runner.m_record.pool][id] = &runner;
+  }
+  return by_pool == m_runners_by_pool ? "" : "runners by pool";
 }
 
 void WorkState::TakeOwnership(const wire::WorkBodyUnion& body,
@@ -133,6 +203,8 @@
   }
   m_acceptance_numbers[*id] = m_next_acceptance_number;
   m_active[m_next_acceptance_number++] = *id;
+  ++m_unstarted[job.m_queue];
+  UpdateJobIndexes(job);
   applied.m_job = *id;
   applied.m_changed = true;
 }
@@ -175,7 +247,10 @@
     task->m_runner = assign.runner;
     --step.m_waiting;
     ++step.m_assigned;
-    job.m_started = true;
+    MarkStarted(job);
+    if (step.m_waiting == 0) {
+      UpdateJobIndexes(job);
+    }
     AddAssignment(run, *job.m_spec.steps[run.m_task.m_step], runner->second);
     applied.m_assigned.push_back(run);
   }
@@ -235,6 +310,7 @@
   }
   if (job.m_state == JobState::kActive) {
     ApplyRunEnd(job, run.m_task, how, applied);
+    UpdateJobIndexes(job);
   }
 }
 
@@ -313,6 +389,11 @@
   const auto number = m_acceptance_numbers.find(job.m_id);
   if (number != m_acceptance_numbers.end()) {
     m_active.erase(number->second);
+    m_startable.erase(number->second);
+    m_periodic.erase(number->second);
+    if (!job.m_started) {
+      --m_unstarted[job.m_queue];
+    }
     m_acceptance_numbers.erase(number);
   }
   applied.m_jobs_ended.push_back(job.m_id);
@@ -322,7 +403,10 @@
                               Runner& runner) {
   runner.m_assigned[run.m_task] = run.m_run;
   runner.m_used.Add(ResourcesOf(step), 1);
-  runner.m_long_running += step.lasting ? 1 : 0;
+  if (step.lasting) {
+    ++runner.m_long_running;
+    runner.m_long_running_milli += ResourcesOf(step).m_cpu_milli;
+  }
 }
 
 void WorkState::RemoveAssignment(const TaskKey& key,
@@ -334,7 +418,10 @@
   }
   if (const wire::StepSpecT* const step = FindStep(key)) {
     assignee->second.m_used.Add(ResourcesOf(*step), -1);
-    assignee->second.m_long_running -= step->lasting ? 1 : 0;
+    if (step->lasting) {
+      --assignee->second.m_long_running;
+      assignee->second.m_long_running_milli -= ResourcesOf(*step).m_cpu_milli;
+    }
   }
 }
 
@@ -368,7 +455,9 @@
     existing = m_runners.emplace(record->id, Runner()).first;
   }
   const std::string previous_machine = existing->second.m_record.machine;
+  RemoveFromPoolIndex(existing->second);
   existing->second.m_record = *record;
+  m_runners_by_pool[record->pool][record->id] = &existing->second;
   UpdateMachineIndex(record->machine);
   if (previous_machine != record->machine) {
     UpdateMachineIndex(previous_machine);
@@ -387,6 +476,7 @@
   }
   EndRunsAsLost(runner->second, applied);
   const std::string machine = runner->second.m_record.machine;
+  RemoveFromPoolIndex(runner->second);
   m_runners.erase(runner);
   UpdateMachineIndex(machine);
   applied.m_changed = true;
@@ -405,6 +495,7 @@
     job->second.OpenOccurrence();
     applied.m_changed = true;
   }
+  UpdateJobIndexes(job->second);
 }
 
 void WorkState::StartUpkeep(const wire::WorkBodyUnion& body,
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -42,6 +42,7 @@
   m_not_movable_before.clear();
   m_last_shortage.clear();
   m_last_peak.clear();
+  m_outlook.reset();
   m_requests.clear();
   m_commands.clear();
 }
@@ -457,6 +458,7 @@
     ++load->second.m_machines;
     load->second.m_machine_milli = runner.m_record.cpu_milli;
     load->second.m_used_milli += runner.m_used.m_cpu_milli;
+    load->second.m_long_running_milli += runner.m_long_running_milli;
     if (runner.m_long_running == 0 && !runner.m_record.machine.empty() &&
         !m_operations.contains(runner.m_record.machine) &&
         IsHandoverOver(runner.m_record.machine)) {
@@ -469,6 +471,7 @@
     if (operation.m_action == fleet::MachineAction::kMove &&
         load != loads.end()) {
       ++load->second.m_machines;
+      ++load->second.m_moving_here;
     }
   }
   for (const auto& [name, machine] : m_inventory) {
@@ -487,21 +490,31 @@
     const auto demand = demands.find(name);
     if (demand != demands.end()) {
       load.m_ready_milli = demand->second.m_ready_milli;
+      load.m_late_milli = demand->second.m_late_milli;
+      load.m_late_used_milli = demand->second.m_late_used_milli;
+      load.m_late_work = demand->second.m_late_work;
+      load.m_waiting_work = demand->second.m_waiting_work;
       load.m_spread_machines = demand->second.m_spread_machines;
     }
-    all_demand += load.m_used_milli + load.m_ready_milli;
+    const auto rejected = m_rejected_milli.find(name);
+    if (rejected != m_rejected_milli.end()) {
+      load.m_rejected_milli = rejected->second;
+    }
+    all_demand +=
+        load.m_used_milli + load.m_ready_milli + load.m_rejected_milli;
   }
   std::vector<placement::PoolLoad> result;
   for (auto& [name, load] : loads) {
     Instant& last_shortage =
         m_last_shortage.emplace(name, moment.m_now).first->second;
-    if (load.m_ready_milli > 0) {
+    if (load.m_ready_milli + load.m_late_milli + load.m_rejected_milli > 0) {
       last_shortage = moment.m_now;
     }
     load.m_no_backlog_ms =
         std::chrono::duration_cast<Millis>(moment.m_now - last_shortage)
             .count();
-    const std::int64_t demand = load.m_used_milli + load.m_ready_milli;
+    const std::int64_t demand =
+        load.m_used_milli + load.m_ready_milli + load.m_rejected_milli;
     if (demand > all_demand / 2 && demand > m_largest_machine_milli) {
       m_last_peak[name] = moment.m_now;
     }
@@ -529,6 +542,8 @@
         .Field("machines", load.m_machines)
         .Field("used_cores", load.m_used_milli / kMilli)
         .Field("ready_cores", load.m_ready_milli / kMilli)
+        .Field("late_cores", load.m_late_milli / kMilli)
+        .Field("rejected_cores", load.m_rejected_milli / kMilli)
         .Field("movable", load.m_movable.size())
         .Field("calm_ms", load.m_no_backlog_ms);
   }
@@ -547,6 +562,7 @@
       std::max(1.0, kBurstShare * m_options.m_requests_per_s));
   placement::BalanceOptions options = m_options.m_balance;
   options.m_max_moves = static_cast<std::size_t>(m_allowed_moves);
+  m_outlook = placement::OutlookOf(loads, options);
   for (const placement::PoolMove& move :
        placement::RebalancePools(std::move(loads), options)) {
     m_allowed_moves -= 1;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -27,9 +27,11 @@
 constexpr Duration kRunnerResponseTimeout = Millis(700);
 constexpr Duration kMachineTimeout = Millis(1500);
 constexpr Duration kAdviceTimeout = Millis(6000);
-// Delay before the process exits after a failed disk write, so that it is not
-// restarted in a tight loop.
-constexpr auto kDiskFailureExitDelay = std::chrono::seconds(1);
+// Pause between attempts to write to a disk that rejects writes, or to open a
+// data folder on it.
+constexpr auto kDiskRetryInterval = std::chrono::milliseconds(100);
+// A disk fault is logged once per this number of failed attempts.
+constexpr int kDiskAttemptsPerLogLine = 10;
 constexpr int kMaxInventoryPages = 64;
 constexpr Duration kRetirePollInterval = Millis(50);
 constexpr int kMaxRetirePolls = 30;
@@ -59,6 +61,57 @@
   return options;
 }
 
+void LogDiskFault(const Failure& failure, int attempt, const char* action) {
+  if (attempt % kDiskAttemptsPerLogLine == 0) {
+    EventLine(Event::kDiskFault, Severity::kWarning)
+        .Field("code", failure.m_code)
+        .Field("context", failure.m_context)
+        .Field("attempt", attempt)
+        .Field("action", action);
+  }
+}
+
+// Blocks while the disk rejects writes. Until the batch is stored the member
+// acknowledges nothing; as the leader it offers the leadership to another one.
+void WriteUntilStored(consensus::LogStore& store,
+                      const consensus::DurableBatchOut& batch) {
+  for (int attempt = 0;; ++attempt) {
+    const auto written = Capture<bool>([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(store.Write(batch));
+      return true;
+    });
+    const auto* const failure = std::get_if<Failure>(&written);
+    if (failure == nullptr) {
+      if (attempt > 0) {
+        EventLine(Event::kDiskFault)
+            .Field("attempt", attempt)
+            .Field("action", "stored");
+      }
+      return;
+    }
+    LogDiskFault(*failure, attempt, "writing the batch again");
+    std::this_thread::sleep_for(kDiskRetryInterval);
+  }
+}
+
+// Blocks while the folder's disk rejects writes: its content is intact then, so
+// the member must not rejoin as a new generation.
+std::variant<std::unique_ptr<consensus::LogStore>, Failure> OpenWhenWritable(
+    const MemberSettings& settings) {
+  for (int attempt = 0;; ++attempt) {
+    auto opened = Capture<std::unique_ptr<consensus::LogStore>>([&] {
+      return consensus::LogStore::Open(settings.m_data_folder, settings.m_name);
+    });
+    const auto* const failure = std::get_if<Failure>(&opened);
+    if (failure == nullptr || failure->m_code != ErrorCode::kDiskWriteFailed) {
+      return opened;
+    }
+    LogDiskFault(*failure, attempt, "opening the data folder again");
+    FlushLog();
+    std::this_thread::sleep_for(kDiskRetryInterval);
+  }
+}
+
 // A data folder that cannot be read counts as a lost disk: the member rejoins
 // as a new generation, so it cannot contradict votes whose record was lost.
 void ClearFolder(const std::string& folder) {
@@ -94,21 +147,20 @@
     asio::any_io_executor executor, MemberSettings settings,
     std::shared_ptr<const ProtocolCodec> codec) {
   BOOST_LEAF_CHECK(CreateGroupIfFirstStart(settings));
-  const auto open = [&] {
-    return consensus::LogStore::Open(settings.m_data_folder, settings.m_name);
-  };
-  auto opened = Capture<std::unique_ptr<consensus::LogStore>>(open);
-  std::unique_ptr<consensus::LogStore> store;
+  auto opened = OpenWhenWritable(settings);
   if (const auto* failure = std::get_if<Failure>(&opened)) {
     EventLine(Event::kRecordRefused, Severity::kError)
         .Field("code", failure->m_code)
         .Field("context", failure->m_context)
         .Field("action", "joining as a new generation");
     ClearFolder(settings.m_data_folder);
-    BOOST_LEAF_ASSIGN(store, open());
-  } else {
-    store = std::move(std::get<std::unique_ptr<consensus::LogStore>>(opened));
+    opened = OpenWhenWritable(settings);
+    if (const auto* again = std::get_if<Failure>(&opened)) {
+      return boost::leaf::new_error(*again);
+    }
   }
+  std::unique_ptr<consensus::LogStore> store =
+      std::move(std::get<std::unique_ptr<consensus::LogStore>>(opened));
   const auto& recovered = store->recovered();
   EventLine(Event::kLogRecovered)
       .Field("member", settings.m_name)
@@ -300,17 +352,7 @@
   auto batch =
       std::make_shared<consensus::DurableBatchOut>(m_core->TakeBatch(Now()));
   asio::post(m_disk_thread, [self = shared_from_this(), batch] {
-    const auto written = Capture<bool>([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(self->m_log_store->Write(*batch));
-      return true;
-    });
-    if (const auto* failure = std::get_if<Failure>(&written)) {
-      EventLine(Event::kProcessStopped, Severity::kError)
-          .Field("code", failure->m_code)
-          .Field("context", failure->m_context);
-      std::this_thread::sleep_for(kDiskFailureExitDelay);
-      std::_Exit(EXIT_FAILURE);
-    }
+    WriteUntilStored(*self->m_log_store, *batch);
     asio::post(self->m_executor, [self] {
       self->m_core->BatchSynced(CurrentMoment());
       self->PerformActions();
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -114,6 +114,22 @@
                    wire::WorkBody::AcceptJob);
     return;
   }
+  jobs::Job job;
+  job.m_id = *id;
+  job.SetSpec(*submit.job);
+  const placement::AdmissionDecision decision =
+      m_admission.Decide(*queue, job, m_moment.m_now);
+  if (!decision.m_accepted) {
+    EventLine(Event::kJobRefused)
+        .Field("job", submit.job->id)
+        .Field("queue", queue->name)
+        .Field("wait_ms", decision.m_wait_ms)
+        .Field("age_ms", decision.m_age_ms)
+        .Field("retry_after_ms", decision.m_retry_after_ms);
+    Reply(source, call_id, wire::CallOutcome::Refused,
+          "the queue's demand exceeds its capacity", decision.m_retry_after_ms);
+    return;
+  }
   wire::AcceptJobT accept;
   accept.queue = queue->name;
   accept.job = std::make_unique<wire::JobSpecT>(*submit.job);
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -37,6 +37,7 @@
       m_replica(m_options.m_replica, std::move(durable), moment.m_now),
       m_dispatcher(m_state, m_options.m_dispatcher),
       m_machine_planner(m_state, m_dispatcher, m_options.m_machines),
+      m_admission(m_options.m_admission),
       m_advice_cache(m_state),
       m_moment(moment),
       m_next_token(m_options.m_first_token) {
@@ -51,11 +52,16 @@
     HandOffIfDiskStalled();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
+      m_machine_planner.SetRejectedDemand(
+          m_admission.RejectedMilli(moment.m_now));
       m_machine_planner.Tick(
           moment, {m_next_token, m_pending_assignments.empty()
                                      ? m_next_token
                                      : *m_pending_assignments.begin()});
     }
+    if (auto outlook = m_machine_planner.TakeOutlook()) {
+      m_admission.Update(std::move(*outlook));
+    }
     for (wire::WorkBodyUnion& body : m_machine_planner.TakeCommands()) {
       AddCommand(std::move(body));
     }
@@ -269,6 +275,7 @@
   m_pending_openings.clear();
   m_heartbeats.clear();
   m_removed_runners.clear();
+  m_admission.Clear();
   m_ownership_token.reset();
   m_batches_in_flight = 0;
 }
@@ -407,9 +414,10 @@
 }
 
 void WorkCore::OpenDueOccurrences() {
-  for (const auto& [number, id] : m_state.active()) {
-    const jobs::Job& job = *m_state.FindJob(id);
-    if (job.m_spec.times == 0 || m_pending_openings.contains(id)) {
+  for (const auto& [number, periodic] : m_state.periodic()) {
+    const jobs::Job& job = *periodic;
+    const jobs::JobId id = job.m_id;
+    if (m_pending_openings.contains(id)) {
       continue;
     }
     std::uint32_t due = job.m_opened;
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -7,21 +7,6 @@
 namespace bronzebarrow::placement {
 namespace {
 
-// Finishing a job earns no credit after this multiple of its objective (the
-// platform's rules).
-constexpr std::int64_t kUsefulObjectiveMultiple = 3;
-
-bool HasWaitingTask(const jobs::Job& job) {
-  for (const auto& [number, occurrence] : job.m_occurrences) {
-    for (const jobs::StepState& step : occurrence.m_steps) {
-      if (step.m_waiting > 0) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 ObjectiveStatus ObjectiveStatusOf(std::int64_t age, std::int64_t remaining,
                                   std::int64_t objective) {
   if (age + remaining <= objective) {
@@ -32,42 +17,82 @@
              : ObjectiveStatus::kExpired;
 }
 
-}  // namespace
+RankedJob AssessJob(const jobs::Job& job, const wire::QueueSpecT& queue,
+                    std::uint64_t now_ms) {
+  RankedJob entry = {&job, &queue, ObjectiveStatus::kLongRunning, 0};
+  if (job.IsLongRunning()) {
+    return entry;
+  }
+  const std::int64_t objective =
+      ObjectiveMs(queue, job.CriticalPathMs(nullptr));
+  for (const auto& [k, occurrence] : job.m_occurrences) {
+    const std::int64_t age =
+        static_cast<std::int64_t>(now_ms - std::min(now_ms, job.DueMs(k)));
+    const std::int64_t remaining = job.CriticalPathMs(&occurrence);
+    const ObjectiveStatus status = ObjectiveStatusOf(age, remaining, objective);
+    if (entry.m_status == ObjectiveStatus::kLongRunning ||
+        status < entry.m_status) {
+      entry.m_status = status;
+      entry.m_slack_ms = objective - age - remaining;
+    }
+  }
+  return entry;
+}
 
-std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
-                                std::uint64_t now_ms) {
+// The status of each startable job, in the order of acceptance.
+std::vector<RankedJob> AssessJobs(const jobs::WorkState& state,
+                                  std::uint64_t now_ms) {
   std::vector<RankedJob> ranked;
-  for (const auto& [number, id] : state.active()) {
-    const jobs::Job& job = *state.FindJob(id);
-    if (!HasWaitingTask(job)) {
-      continue;
-    }
+  ranked.reserve(state.startable().size());
+  for (const auto& [number, startable] : state.startable()) {
+    const jobs::Job& job = *startable;
     const wire::QueueSpecT* const queue = state.queues().Find(job.m_queue);
     if (queue == nullptr) {
       // The queue was removed from the configuration: its pool is unknown.
       continue;
     }
-    RankedJob entry = {&job, queue, ObjectiveStatus::kLongRunning, 0};
-    if (!job.IsLongRunning()) {
-      const auto objective = static_cast<std::int64_t>(
-          queue->slack_factor *
-              static_cast<double>(job.CriticalPathMs(nullptr)) +
-          queue->objective_ms);
-      for (const auto& [k, occurrence] : job.m_occurrences) {
-        const std::int64_t age =
-            static_cast<std::int64_t>(now_ms - std::min(now_ms, job.DueMs(k)));
-        const std::int64_t remaining = job.CriticalPathMs(&occurrence);
-        const ObjectiveStatus status =
-            ObjectiveStatusOf(age, remaining, objective);
-        if (entry.m_status == ObjectiveStatus::kLongRunning ||
-            status < entry.m_status) {
-          entry.m_status = status;
-          entry.m_slack_ms = objective - age - remaining;
-        }
-      }
+    ranked.push_back(AssessJob(job, *queue, now_ms));
+  }
+  return ranked;
+}
+
+// Estimated work of the waiting tasks, of ready steps and later ones.
+std::int64_t WaitingWork(const jobs::Job& job) {
+  std::int64_t work = 0;
+  for (const auto& [number, occurrence] : job.m_occurrences) {
+    for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+      const wire::StepSpecT& spec = *job.m_spec.steps[step];
+      work += occurrence.m_steps[step].m_waiting *
+              jobs::ResourcesOf(spec).m_cpu_milli *
+              std::int64_t{spec.estimate_ms};
     }
-    ranked.push_back(entry);
   }
+  return work;
+}
+
+std::int64_t AssignedMilli(const jobs::Job& job) {
+  std::int64_t milli = 0;
+  for (const auto& [number, occurrence] : job.m_occurrences) {
+    for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+      milli += occurrence.m_steps[step].m_assigned *
+               jobs::ResourcesOf(*job.m_spec.steps[step]).m_cpu_milli;
+    }
+  }
+  return milli;
+}
+
+}  // namespace
+
+std::int64_t ObjectiveMs(const wire::QueueSpecT& queue,
+                         std::int64_t critical_path_ms) {
+  return static_cast<std::int64_t>(queue.slack_factor *
+                                       static_cast<double>(critical_path_ms) +
+                                   queue.objective_ms);
+}
+
+std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
+                                std::uint64_t now_ms) {
+  std::vector<RankedJob> ranked = AssessJobs(state, now_ms);
   std::stable_sort(
       ranked.begin(), ranked.end(), [](const RankedJob& a, const RankedJob& b) {
         return std::tuple(a.m_status, a.m_queue->priority,
@@ -80,12 +105,20 @@
 std::map<std::string, PoolDemand> DemandByPool(const jobs::WorkState& state,
                                                std::uint64_t now_ms) {
   std::map<std::string, PoolDemand> demands;
-  for (const RankedJob& ranked : RankJobs(state, now_ms)) {
+  for (const RankedJob& ranked : AssessJobs(state, now_ms)) {
     if (ranked.m_status == ObjectiveStatus::kExpired) {
       continue;
     }
     const jobs::Job& job = *ranked.m_job;
     PoolDemand& demand = demands[ranked.m_queue->pool];
+    if (ranked.m_status == ObjectiveStatus::kOnTime) {
+      demand.m_waiting_work[ranked.m_queue->priority] += WaitingWork(job);
+    } else if (ranked.m_status == ObjectiveStatus::kLate) {
+      demand.m_late_work += WaitingWork(job);
+    }
+    std::int64_t& ready_milli = ranked.m_status == ObjectiveStatus::kLate
+                                    ? demand.m_late_milli
+                                    : demand.m_ready_milli;
     for (const auto& [number, occurrence] : job.m_occurrences) {
       for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
         const jobs::StepState& tasks = occurrence.m_steps[step];
@@ -93,8 +126,7 @@
         if (tasks.m_waiting == 0 || !job.IsStepReady(occurrence, step)) {
           continue;
         }
-        demand.m_ready_milli +=
-            tasks.m_waiting * jobs::ResourcesOf(spec).m_cpu_milli;
+        ready_milli += tasks.m_waiting * jobs::ResourcesOf(spec).m_cpu_milli;
         if (spec.max_per_runner > 0) {
           const std::int64_t at_once = tasks.m_waiting + tasks.m_assigned;
           demand.m_spread_machines = std::max(
@@ -104,6 +136,16 @@
       }
     }
   }
+  for (const auto& [number, id] : state.active()) {
+    const jobs::Job& job = *state.FindJob(id);
+    const std::int64_t used = AssignedMilli(job);
+    const wire::QueueSpecT* const queue =
+        used == 0 ? nullptr : state.queues().Find(job.m_queue);
+    if (queue != nullptr &&
+        AssessJob(job, *queue, now_ms).m_status >= ObjectiveStatus::kLate) {
+      demands[queue->pool].m_late_used_milli += used;
+    }
+  }
   return demands;
 }
 
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -26,24 +26,20 @@
 /** One pass of planning over all pools. */
 class PlanningPass {
  public:
-  explicit PlanningPass(const PlanInput& input) : m_input(input) {
-    for (const auto& [id, runner] : input.m_state.runners()) {
-      if (runner.m_record.draining || !input.m_is_usable(id)) {
-        continue;
-      }
-      const bool goes_down_soon =
-          input.m_goes_down_soon &&
-          input.m_goes_down_soon(runner.m_record.machine);
-      m_pools[runner.m_record.pool].m_candidates.push_back(
-          {&runner, runner.FreeResources(), goes_down_soon,
-           static_cast<std::int64_t>(runner.m_long_running), RackOf(runner)});
+  PlanningPass(const PlanInput& input, const std::vector<RankedJob>& ranking)
+      : m_input(input) {
+    for (const RankedJob& ranked : ranking) {
+      m_pools[ranked.m_queue->pool].AddNeeds(*ranked.m_job);
+    }
+    for (auto& [name, pool] : m_pools) {
+      AddCandidates(name, pool);
     }
   }
 
   void PlaceJob(const RankedJob& ranked) {
     const jobs::Job& job = *ranked.m_job;
     const auto pool = m_pools.find(ranked.m_queue->pool);
-    if (pool == m_pools.end()) {
+    if (pool == m_pools.end() || pool->second.m_candidates.empty()) {
       return;
     }
     for (const auto& [number, occurrence] : job.m_occurrences) {
@@ -70,12 +66,38 @@
  private:
   /** The candidates of one pool, and needs that fit on none of them. */
   struct Pool {
+    // The least of each resource that any startable task needs. Runners with
+    // less are left out; all zero when a long-running task waits, because it
+    // may reserve a full runner.
+    std::optional<jobs::Resources> m_least_need;
     std::vector<Candidate> m_candidates;
     // Needs of steps without further constraints that fit on no runner. Steps
     // that need at least as much per task are skipped, because free capacity
     // only shrinks during a pass.
     std::vector<jobs::Resources> m_unplaceable_needs;
 
+    void AddNeeds(const jobs::Job& job) {
+      for (const auto& [number, occurrence] : job.m_occurrences) {
+        for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+          const wire::StepSpecT& spec = *job.m_spec.steps[step];
+          if (occurrence.m_steps[step].m_waiting == 0 ||
+              !job.IsStepReady(occurrence, step)) {
+            continue;
+          }
+          const jobs::Resources need =
+              spec.lasting ? jobs::Resources() : jobs::ResourcesOf(spec);
+          if (!m_least_need) {
+            m_least_need = need;
+          }
+          m_least_need->m_cpu_milli =
+              std::min(m_least_need->m_cpu_milli, need.m_cpu_milli);
+          m_least_need->m_memory_mb =
+              std::min(m_least_need->m_memory_mb, need.m_memory_mb);
+          m_least_need->m_gpu = std::min(m_least_need->m_gpu, need.m_gpu);
+        }
+      }
+    }
+
     bool IsKnownNotToFit(const jobs::Resources& need) const {
       return std::any_of(
           m_unplaceable_needs.begin(), m_unplaceable_needs.end(),
@@ -83,6 +105,22 @@
     }
   };
 
+  void AddCandidates(const std::string& name, Pool& pool) {
+    for (const auto& [id, runner] : m_input.m_state.RunnersOfPool(name)) {
+      const jobs::Resources free = runner->FreeResources();
+      if (runner->m_record.draining || !pool.m_least_need ||
+          !free.Fits(*pool.m_least_need) || !m_input.m_is_usable(id)) {
+        continue;
+      }
+      const bool goes_down_soon =
+          m_input.m_goes_down_soon &&
+          m_input.m_goes_down_soon(runner->m_record.machine);
+      pool.m_candidates.push_back(
+          {runner, free, goes_down_soon,
+           static_cast<std::int64_t>(runner->m_long_running), RackOf(*runner)});
+    }
+  }
+
   void PlaceStep(const RankedJob& ranked, std::uint32_t number,
                  const jobs::StepState& state, std::size_t step, Pool& pool) {
     const wire::StepSpecT& spec = *ranked.m_job->m_spec.steps[step];
@@ -96,6 +134,10 @@
       CountStepTasks(state, candidates, tasks_on_rack);
     }
     std::vector<std::pair<Candidate*, jobs::RunKey>> chosen;
+    // Without a limit per runner, the candidate of the previous task stays the
+    // best one until it is full: its rack and its fill only count for it.
+    const bool keeps_best = !counts_per_runner && !ranked.m_queue->needs_advice;
+    Candidate* previous = nullptr;
     const jobs::Resources need = jobs::ResourcesOf(spec);
     std::uint32_t gang_run = 0;
     if (spec.gang) {
@@ -114,8 +156,14 @@
       const jobs::TaskKey key = {ranked.m_job->m_id, number,
                                  static_cast<std::uint16_t>(step),
                                  static_cast<std::uint16_t>(index)};
-      Candidate* const best = FindBestCandidate(ranked, key, spec, task, need,
-                                                tasks_on_rack, candidates);
+      const bool fits_previous = keeps_best && previous != nullptr &&
+                                 task.m_failures == 0 &&
+                                 previous->m_free.Fits(need);
+      Candidate* const best =
+          fits_previous ? previous
+                        : FindBestCandidate(ranked, key, spec, task, need,
+                                            tasks_on_rack, candidates);
+      previous = task.m_failures == 0 ? best : nullptr;
       if (best == nullptr) {
         if (spec.lasting) {
           ReserveRunner(spec, need, candidates);
@@ -289,7 +337,7 @@
   if (ranking.empty()) {
     return {};
   }
-  PlanningPass pass(input);
+  PlanningPass pass(input, ranking);
   for (const RankedJob& ranked : ranking) {
     if (pass.HasReachedMaxRuns()) {
       break;
--- a/src/placement/pool_balance.cc
+++ b/src/placement/pool_balance.cc
@@ -4,20 +4,23 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace bronzebarrow::placement {
 namespace {
 
-// Machines that the pool needs for its assigned tasks, for tasks that could
-// start now, and for the demand expected while more machines are moving.
+// Machines that the pool needs for its assigned tasks and for tasks that could
+// start now, of jobs that can still be on time, and for the demand expected
+// while more machines are moving.
 std::int64_t NeededMachines(const PoolLoad& pool,
                             const BalanceOptions& options) {
   if (pool.m_machine_milli <= 0) {
     return std::max(pool.m_machines, pool.m_spread_machines);
   }
   const double machines =
-      (static_cast<double>(pool.m_used_milli) +
-       options.m_demand_growth * static_cast<double>(pool.m_ready_milli)) /
+      (static_cast<double>(pool.m_used_milli - pool.m_late_used_milli) +
+       options.m_demand_growth *
+           static_cast<double>(pool.m_ready_milli + pool.m_rejected_milli)) /
           static_cast<double>(pool.m_machine_milli) +
       options.m_reserve_machines;
   return std::max({static_cast<std::int64_t>(std::ceil(machines)),
@@ -34,8 +37,7 @@
   PoolLoad* best = nullptr;
   std::int64_t best_spare = 0;
   for (PoolLoad* const donor : donors) {
-    const std::int64_t spare =
-        donor->m_machines - NeededMachines(*donor, options);
+    const std::int64_t spare = SurplusMachines(*donor, options);
     if (spare > best_spare && !donor->m_movable.empty() &&
         (!only_idle || HasIdleMachine(*donor))) {
       best = donor;
@@ -64,8 +66,57 @@
   return next;
 }
 
+// Divides the machines of pools that are all short in proportion to their
+// needs, as far as machines can be moved.
+void ShareAmongShortPools(
+    const std::vector<PoolLoad*>& pools, const BalanceOptions& options,
+    std::size_t moves,
+    const std::function<void(PoolLoad& from, PoolLoad& to)>& move_machine) {
+  double all_needed = 0;
+  double all_machines = 0;
+  for (const PoolLoad* const pool : pools) {
+    all_needed += static_cast<double>(NeededMachines(*pool, options));
+    all_machines += static_cast<double>(pool->m_machines);
+  }
+  // Machines beyond the pool's share; negative: machines that it lacks.
+  const auto excess = [&](const PoolLoad& pool) {
+    const double share = std::max(
+        {all_machines * static_cast<double>(NeededMachines(pool, options)) /
+             all_needed,
+         static_cast<double>(options.m_min_machines),
+         static_cast<double>(pool.m_spread_machines)});
+    return (static_cast<double>(pool.m_machines) - share) / share;
+  };
+  for (; moves < options.m_max_moves; ++moves) {
+    PoolLoad* from = nullptr;
+    PoolLoad* to = nullptr;
+    for (PoolLoad* const pool : pools) {
+      if (!pool->m_movable.empty() &&
+          excess(*pool) > options.m_share_tolerance &&
+          (from == nullptr || excess(*pool) > excess(*from))) {
+        from = pool;
+      }
+      if (to == nullptr || excess(*pool) < excess(*to)) {
+        to = pool;
+      }
+    }
+    if (from == nullptr || excess(*to) >= 0) {
+      return;
+    }
+    move_machine(*from, *to);
+  }
+}
+
 }  // namespace
 
+std::int64_t SurplusMachines(const PoolLoad& pool,
+                             const BalanceOptions& options) {
+  return pool.m_standby
+             ? static_cast<std::int64_t>(pool.m_movable.size())
+             : std::max(std::int64_t{0},
+                        pool.m_machines - NeededMachines(pool, options));
+}
+
 std::vector<PoolMove> RebalancePools(std::vector<PoolLoad> pools,
                                      const BalanceOptions& options) {
   std::vector<PoolMove> moves;
@@ -88,7 +139,8 @@
   }
   std::sort(short_pools.begin(), short_pools.end(),
             [](const PoolLoad* a, const PoolLoad* b) {
-              return a->m_ready_milli > b->m_ready_milli;
+              return a->m_ready_milli + a->m_rejected_milli >
+                     b->m_ready_milli + b->m_rejected_milli;
             });
   const auto move_machine = [&](PoolLoad& from, PoolLoad& to) {
     const MovableMachine machine = from.m_movable.back();
@@ -118,6 +170,23 @@
       move_machine(*best, *pool);
     }
   }
+  ShareAmongShortPools(short_pools, options, moves.size(), move_machine);
+  // Late jobs get machines that are idle elsewhere, but no parked ones: what
+  // they are still worth does not pay for those.
+  for (PoolLoad* const pool : donors) {
+    while (pool->m_late_milli > 0 && pool->m_machine_milli > 0 &&
+           moves.size() < options.m_max_moves &&
+           pool->m_used_milli + pool->m_late_milli >
+               pool->m_machines * pool->m_machine_milli) {
+      std::vector<PoolLoad*> others = donors;
+      std::erase(others, pool);
+      PoolLoad* const best = FindDonor(others, options, true);
+      if (best == nullptr) {
+        break;
+      }
+      move_machine(*best, *pool);
+    }
+  }
   std::int64_t no_backlog_ms = std::numeric_limits<std::int64_t>::max();
   for (const PoolLoad& pool : pools) {
     no_backlog_ms = pool.m_standby
--- /dev/null
+++ b/tests/load_model.cc
@@ -0,0 +1,364 @@
+// LoadModel: arrivals, runners, machines and the disk in virtual time.
+#include "load_model.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace bronzebarrow::node {
+namespace {
+
+constexpr Duration kTimeStep = Millis(5);
+constexpr Duration kTickInterval = Millis(25);
+constexpr Duration kSyncTime = Millis(9);
+constexpr Duration kNetworkDelay = Millis(1);
+constexpr Duration kMoveTime = Millis(1500);
+// Time for the election and the registration of the runners.
+constexpr Duration kWarmUp = Millis(3000);
+// Time after the last arrival in which jobs may end.
+constexpr Duration kFinishTime = Millis(15'000);
+constexpr std::uint64_t kWallClockStartMs = 1'700'000'000'000;
+constexpr double kSlackFactor = 1.6;
+constexpr std::uint32_t kTargetMs = 600;
+constexpr const char* kHost = "q.example";
+constexpr const char* kStandby = "standby";
+// Ids of calls that submit no job.
+constexpr std::uint64_t kOtherCall = std::uint64_t{1} << 40;
+
+}  // namespace
+
+QueueResult LoadResult::Total() const {
+  QueueResult total;
+  for (const auto& [name, queue] : m_queues) {
+    total.m_submitted += queue.m_submitted;
+    total.m_on_time += queue.m_on_time;
+    total.m_late += queue.m_late;
+    total.m_refused += queue.m_refused;
+    total.m_useless += queue.m_useless;
+  }
+  return total;
+}
+
+LoadModel::LoadModel(LoadPattern pattern, WorkCoreOptions options)
+    : m_pattern(std::move(pattern)),
+      m_random(m_pattern.m_seed),
+      m_start(Instant() + std::chrono::hours(1)),
+      m_now(m_start) {
+  options.m_replica.m_id = {"m", 1};
+  options.m_replica.m_seed = m_pattern.m_seed;
+  options.m_machines.m_holder = "m";
+  m_disk.m_state.m_base_membership =
+      consensus::Membership({{options.m_replica.m_id, true}});
+  m_core = std::make_unique<WorkCore>(options, m_disk.m_state, VirtualMoment());
+  for (const QueuePattern& queue : m_pattern.m_queues) {
+    for (std::size_t i = 0; i < queue.m_machines; ++i) {
+      m_machines.push_back({queue.m_name, std::nullopt, m_now, 0});
+    }
+  }
+  for (std::size_t i = 0; i < m_pattern.m_parked_machines; ++i) {
+    m_machines.push_back({kStandby, std::nullopt, m_now, 0});
+  }
+}
+
+Moment LoadModel::VirtualMoment() const {
+  return {m_now, kWallClockStartMs + static_cast<std::uint64_t>(
+                                         std::chrono::duration_cast<Millis>(
+                                             m_now.time_since_epoch())
+                                             .count())};
+}
+
+void LoadModel::Schedule(Duration delay, std::function<void()> event) {
+  m_events.emplace(m_now + delay, std::move(event));
+}
+
+void LoadModel::Call(wire::CallBodyUnion body, std::uint64_t id) {
+  wire::CallT call;
+  call.id = id;
+  call.body = std::move(body);
+  m_core->OnCall(id, call, VirtualMoment());
+  PerformActions();
+}
+
+LoadResult LoadModel::Run() {
+  const Instant begin = m_start + kWarmUp;
+  const Instant end = begin + m_pattern.m_length + kFinishTime;
+  Instant next_tick = m_now;
+  bool configured = false;
+  while (m_now < end) {
+    m_now += kTimeStep;
+    while (!m_events.empty() && m_events.begin()->first <= m_now) {
+      const auto event = std::move(m_events.begin()->second);
+      m_events.erase(m_events.begin());
+      event();
+    }
+    if (!configured && m_core->CanServe(m_now)) {
+      Configure();
+      configured = true;
+    }
+    if (configured) {
+      RegisterReadyMachines();
+    }
+    CompleteHolds();
+    if (m_now >= begin && m_now < begin + m_pattern.m_length) {
+      Arrive();
+    }
+    for (const Machine& machine : m_machines) {
+      m_result.m_pool_seconds +=
+          machine.m_pool == kStandby
+              ? 0
+              : std::chrono::duration<double>(kTimeStep).count();
+    }
+    if (m_now >= next_tick) {
+      next_tick = m_now + kTickInterval;
+      m_core->Tick(VirtualMoment());
+      PerformActions();
+    }
+  }
+  return Summarise();
+}
+
+void LoadModel::Configure() {
+  wire::PutConfigCallT put;
+  put.config = std::make_unique<wire::FleetConfigT>();
+  put.config->version = 1;
+  put.config->document = "{}";
+  for (const QueuePattern& pattern : m_pattern.m_queues) {
+    auto pool = std::make_unique<wire::PoolSpecT>();
+    pool->name = pattern.m_name;
+    put.config->pools.push_back(std::move(pool));
+    auto queue = std::make_unique<wire::QueueSpecT>();
+    queue->name = pattern.m_name;
+    queue->host = kHost;
+    queue->path_prefix = "/" + pattern.m_name + "/";
+    queue->pool = pattern.m_name;
+    queue->attempts = 3;
+    queue->slack_factor = kSlackFactor;
+    queue->objective_ms = kTargetMs;
+    queue->timeout_ms = 3000;
+    put.config->queues.push_back(std::move(queue));
+  }
+  auto standby = std::make_unique<wire::PoolSpecT>();
+  standby->name = kStandby;
+  standby->standby = true;
+  put.config->pools.push_back(std::move(standby));
+  wire::CallBodyUnion body;
+  body.Set(std::move(put));
+  Call(std::move(body), kOtherCall);
+}
+
+void LoadModel::RegisterReadyMachines() {
+  for (std::size_t i = 0; i < m_machines.size(); ++i) {
+    Machine& machine = m_machines[i];
+    if (machine.m_runner || machine.m_pool == kStandby ||
+        m_now < machine.m_ready_at) {
+      continue;
+    }
+    const std::string id =
+        "i-" + std::to_string(i) + "-" + std::to_string(++machine.m_lives);
+    machine.m_runner.emplace(id, VirtualMoment().m_wall_ms, 1.0, m_now);
+    m_machine_of_runner[id] = i;
+    wire::ReportRunnerCallT report;
+    report.runner = std::make_unique<wire::RunnerRecordT>();
+    report.runner->id = id;
+    report.runner->born_ms = machine.m_runner->born_ms();
+    report.runner->machine = std::to_string(i);
+    report.runner->address = "127.0.0.1:1";
+    report.runner->pool = machine.m_pool;
+    report.runner->labels = {"a", "rack" + std::to_string(i / 20)};
+    report.runner->cpu_milli = kMachineMilli;
+    report.runner->memory_mb = 128'000;
+    report.runner->sequence = 1;
+    wire::CallBodyUnion body;
+    body.Set(std::move(report));
+    Call(std::move(body), kOtherCall);
+  }
+}
+
+void LoadModel::Arrive() {
+  const Duration elapsed = m_now - m_start - kWarmUp;
+  for (const QueuePattern& queue : m_pattern.m_queues) {
+    const bool at_peak = elapsed >= queue.m_peak_start &&
+                         elapsed < queue.m_peak_start + queue.m_peak_length;
+    const double rate = at_peak ? queue.m_peak_jobs_per_s : queue.m_jobs_per_s;
+    std::poisson_distribution<int> arrivals(
+        rate * std::chrono::duration<double>(kTimeStep).count());
+    for (int i = arrivals(m_random); i > 0; --i) {
+      SubmitJob(queue);
+    }
+  }
+}
+
+void LoadModel::SubmitJob(const QueuePattern& queue) {
+  const std::uint64_t id = m_next_job++;
+  wire::SubmitCallT submit;
+  submit.host = kHost;
+  submit.path = "/" + queue.m_name + "/" + jobs::JobIdText(id);
+  submit.job = std::make_unique<wire::JobSpecT>();
+  submit.job->id = jobs::JobIdText(id);
+  std::uniform_real_distribution<double> error(1 - queue.m_estimate_spread,
+                                               1 + queue.m_estimate_spread);
+  for (std::uint32_t number = 0; number < queue.m_steps; ++number) {
+    auto step = std::make_unique<wire::StepSpecT>();
+    step->count = queue.m_tasks;
+    step->cpu_milli = queue.m_cpu_milli;
+    step->memory_mb = 1000;
+    step->estimate_ms =
+        static_cast<std::uint32_t>(queue.m_task_ms * error(m_random));
+    if (number > 0) {
+      step->depends_on = {number - 1};
+    }
+    submit.job->steps.push_back(std::move(step));
+  }
+  Submission& submission = m_submissions[id];
+  submission.m_queue = queue.m_name;
+  submission.m_sent_ms = VirtualMoment().m_wall_ms;
+  submission.m_objective_ms = static_cast<std::uint64_t>(
+      kSlackFactor * queue.m_steps * queue.m_task_ms + kTargetMs);
+  wire::CallBodyUnion body;
+  body.Set(std::move(submit));
+  Call(std::move(body), id);
+}
+
+void LoadModel::PerformActions() {
+  if (!m_batch && m_core->HasBatch()) {
+    m_batch = m_core->TakeBatch(m_now);
+    Schedule(kSyncTime, [this] {
+      m_disk.Sync(*m_batch);
+      m_batch.reset();
+      m_core->BatchSynced(VirtualMoment());
+      PerformActions();
+    });
+  }
+  m_core->TakePeerMessages();
+  m_core->TakeAdviceRequests();
+  for (const OutgoingReply& reply : m_core->TakeReplies()) {
+    const auto found = m_submissions.find(reply.m_source);
+    if (found == m_submissions.end() || found->second.m_answered) {
+      continue;
+    }
+    Submission& submission = found->second;
+    submission.m_answered = true;
+    submission.m_accepted =
+        reply.m_reply.outcome == wire::CallOutcome::Accepted;
+    if (reply.m_reply.outcome == wire::CallOutcome::Refused) {
+      QueueResult& queue = m_result.m_queues[submission.m_queue];
+      const std::uint32_t retry_after_ms = reply.m_reply.retry_after_ms;
+      queue.m_min_retry_after_ms =
+          queue.m_refused == 0
+              ? retry_after_ms
+              : std::min(queue.m_min_retry_after_ms, retry_after_ms);
+      queue.m_max_retry_after_ms =
+          std::max(queue.m_max_retry_after_ms, retry_after_ms);
+      queue.m_slowest_refusal_ms =
+          std::max(queue.m_slowest_refusal_ms,
+                   VirtualMoment().m_wall_ms - submission.m_sent_ms);
+      ++queue.m_refused;
+    }
+  }
+  for (const runs::RunnerCall& call : m_core->TakeRunnerCalls()) {
+    Schedule(kNetworkDelay, [this, call] { HandleRunnerCall(call); });
+  }
+  for (const fleet::MachineRequest& request : m_core->TakeMachineRequests()) {
+    Schedule(kNetworkDelay, [this, request] { HandleMachineRequest(request); });
+  }
+  if (m_core->TakeInventoryRequest(m_now)) {
+    std::vector<fleet::Machine> inventory;
+    for (std::size_t i = 0; i < m_machines.size(); ++i) {
+      fleet::Machine& machine = inventory.emplace_back();
+      machine.m_name = std::to_string(i);
+      machine.m_pool = m_machines[i].m_pool;
+      machine.m_state = fleet::MachineState::kUp;
+    }
+    m_core->OnMachineInventory(std::move(inventory), VirtualMoment());
+  }
+}
+
+void LoadModel::HandleRunnerCall(const runs::RunnerCall& call) {
+  const auto found = m_machine_of_runner.find(call.m_runner);
+  runs::RunnerAnswer answer;
+  answer.m_kind = runs::AnswerKind::kGone;
+  if (found != m_machine_of_runner.end()) {
+    FakeRunner& runner = *m_machines[found->second].m_runner;
+    Duration span = Duration::zero();
+    if (call.m_kind == runs::CallKind::kStart) {
+      const Submission& submission = m_submissions.at(call.m_run.m_task.m_job);
+      const auto queue = std::find_if(
+          m_pattern.m_queues.begin(), m_pattern.m_queues.end(),
+          [&](const auto& q) { return q.m_name == submission.m_queue; });
+      span = Millis(queue->m_task_ms);
+    }
+    answer = runner.Handle(call, m_now, span, false);
+    if (call.m_kind == runs::CallKind::kHold && call.m_wait_ms > 0 &&
+        answer.m_kind == runs::AnswerKind::kOk && answer.m_ended.empty()) {
+      m_holds.push_back({call, found->second, m_now + Millis(call.m_wait_ms)});
+      return;
+    }
+  }
+  m_core->OnRunnerAnswer(call, answer, VirtualMoment());
+  PerformActions();
+}
+
+void LoadModel::CompleteHolds() {
+  for (Machine& machine : m_machines) {
+    if (machine.m_runner) {
+      machine.m_runner->AdvanceTo(m_now);
+    }
+  }
+  std::vector<runs::RunnerCall> due;
+  std::erase_if(m_holds, [&](const OpenHold& hold) {
+    const auto& runner = m_machines[hold.m_machine].m_runner;
+    const bool is_due = m_now >= hold.m_until || !runner ||
+                        runner->id() != hold.m_call.m_runner ||
+                        runner->HasEndsAfter(hold.m_call.m_last_recorded_end);
+    if (is_due) {
+      due.push_back(hold.m_call);
+      due.back().m_wait_ms = 0;
+    }
+    return is_due;
+  });
+  for (const runs::RunnerCall& call : due) {
+    HandleRunnerCall(call);
+  }
+}
+
+void LoadModel::HandleMachineRequest(const fleet::MachineRequest& request) {
+  Machine& machine = m_machines.at(std::stoul(request.m_machine));
+  if (machine.m_pool != request.m_pool) {
+    if (machine.m_runner) {
+      m_machine_of_runner.erase(machine.m_runner->id());
+      machine.m_runner.reset();
+    }
+    machine.m_pool = request.m_pool;
+    machine.m_ready_at = m_now + kMoveTime;
+    ++m_result.m_moves;
+  }
+  m_core->OnMachineAnswer(request, fleet::MachineResponse::kOk,
+                          VirtualMoment());
+  PerformActions();
+}
+
+LoadResult LoadModel::Summarise() {
+  for (const auto& [number, submission] : m_submissions) {
+    QueueResult& queue = m_result.m_queues[submission.m_queue];
+    ++queue.m_submitted;
+    if (!submission.m_accepted) {
+      continue;
+    }
+    const jobs::Job* const job = m_core->state().FindJob(number);
+    const bool ended =
+        job != nullptr && job->m_state != jobs::JobState::kActive;
+    const std::uint64_t age_ms =
+        ended ? job->m_ended_ms - submission.m_sent_ms
+              : std::numeric_limits<std::uint64_t>::max();
+    if (age_ms <= submission.m_objective_ms) {
+      ++queue.m_on_time;
+    } else if (age_ms <= submission.m_objective_ms * 3) {
+      ++queue.m_late;
+    } else {
+      ++queue.m_useless;
+    }
+  }
+  return m_result;
+}
+
+}  // namespace bronzebarrow::node
--- /dev/null
+++ b/tests/load_model.h
@@ -0,0 +1,129 @@
+// Replays a load pattern in virtual time: one member with the real work core,
+// runners in several pools and callers. Counts what became of each queue's
+// jobs. Machines move between pools as the core requests.
+#ifndef BRONZEBARROW_TESTS_LOAD_MODEL_H_
+#define BRONZEBARROW_TESTS_LOAD_MODEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/node/work_core.h"
+#include "fake_group.h"
+#include "fake_runner.h"
+
+namespace bronzebarrow::node {
+
+/** Jobs of one queue, each with steps that follow one another. */
+struct QueuePattern {
+  std::string m_name;  // Also the name of its pool.
+  std::uint32_t m_steps = 2;
+  std::uint32_t m_tasks = 8;  // In each step.
+  std::uint32_t m_cpu_milli = 4500;
+  std::uint32_t m_task_ms = 1000;  // True mean duration of a task.
+  double m_estimate_spread = 0.5;  // Estimates are off by up to this share.
+  double m_jobs_per_s = 1;         // Outside the peak.
+  double m_peak_jobs_per_s = 1;    // During the peak.
+  Duration m_peak_start = Duration::zero();
+  Duration m_peak_length = Duration::zero();
+  std::size_t m_machines = 4;  // In its pool at the start.
+};
+
+struct LoadPattern {
+  std::vector<QueuePattern> m_queues;
+  std::size_t m_parked_machines = 0;   // In the standby pool at the start.
+  Duration m_length = Millis(20'000);  // Time during which jobs arrive.
+  std::uint64_t m_seed = 1;
+};
+
+/** What became of the jobs of one queue. */
+struct QueueResult {
+  std::size_t m_submitted = 0;
+  std::size_t m_on_time = 0;
+  std::size_t m_late = 0;
+  std::size_t m_refused = 0;
+  // Accepted, and ended after any use or not at all.
+  std::size_t m_useless = 0;
+  // Of the refused ones, the shortest and the longest time to return.
+  std::uint32_t m_min_retry_after_ms = 0;
+  std::uint32_t m_max_retry_after_ms = 0;
+  std::uint64_t m_slowest_refusal_ms = 0;
+};
+
+struct LoadResult {
+  std::map<std::string, QueueResult> m_queues;
+  std::size_t m_moves = 0;
+  double m_pool_seconds = 0;  // Machines in pools other than standby.
+
+  QueueResult Total() const;
+};
+
+class LoadModel {
+ public:
+  LoadModel(LoadPattern pattern, WorkCoreOptions options);
+  LoadModel(const LoadModel&) = delete;
+  LoadModel& operator=(const LoadModel&) = delete;
+
+  /** Plays the pattern and the time until the accepted jobs have ended. */
+  LoadResult Run();
+
+ private:
+  static constexpr std::uint32_t kMachineMilli = 32'000;
+
+  /** A machine with its runner; in standby it has none. */
+  struct Machine {
+    std::string m_pool;
+    std::optional<FakeRunner> m_runner;
+    Instant m_ready_at;  // Its runner registers then.
+    std::uint32_t m_lives = 0;
+  };
+  struct Submission {
+    std::string m_queue;
+    std::uint64_t m_sent_ms = 0;
+    std::uint64_t m_objective_ms = 0;
+    bool m_answered = false;
+    bool m_accepted = false;
+  };
+  struct OpenHold {
+    runs::RunnerCall m_call;
+    std::size_t m_machine = 0;
+    Instant m_until;
+  };
+
+  void Configure();
+  void Arrive();
+  void SubmitJob(const QueuePattern& queue);
+  void RegisterReadyMachines();
+  void PerformActions();
+  void HandleRunnerCall(const runs::RunnerCall& call);
+  void CompleteHolds();
+  void HandleMachineRequest(const fleet::MachineRequest& request);
+  LoadResult Summarise();
+  void Call(wire::CallBodyUnion body, std::uint64_t id);
+  void Schedule(Duration delay, std::function<void()> event);
+  Moment VirtualMoment() const;
+
+  LoadPattern m_pattern;
+  std::mt19937_64 m_random;
+  Instant m_start;
+  Instant m_now;
+  consensus::FakeDisk m_disk;
+  std::optional<consensus::DurableBatchOut> m_batch;
+  std::unique_ptr<WorkCore> m_core;
+  std::vector<Machine> m_machines;
+  std::map<std::string, std::size_t> m_machine_of_runner;
+  std::vector<OpenHold> m_holds;
+  std::multimap<Instant, std::function<void()>> m_events;
+  std::map<std::uint64_t, Submission> m_submissions;  // By job id and call id.
+  std::uint64_t m_next_job = 1;
+  LoadResult m_result;
+};
+
+}  // namespace bronzebarrow::node
+
+#endif  // BRONZEBARROW_TESTS_LOAD_MODEL_H_
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -2,7 +2,9 @@
 #include "bronzebarrow/consensus/log_store.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 
@@ -24,6 +26,9 @@
   CPPUNIT_TEST(RefusesLogDamagedBeforeTail);
   CPPUNIT_TEST(ReplacesLogOnSnapshot);
   CPPUNIT_TEST(RefusesDamagedSnapshot);
+  CPPUNIT_TEST(StoresBatchOnceAFullDiskHasSpace);
+  CPPUNIT_TEST(StoresSnapshotOnceAFullDiskHasSpace);
+  CPPUNIT_TEST(OpensWithoutWritingToAFullDisk);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -143,7 +148,94 @@
     AssertFailure(ErrorCode::kLogDamaged, TryOpen("a"));
   }
 
+  // Guards against a member that ends itself, or loses entries, because its
+  // disk was full for a while. The write fails after a part of the record.
+  void StoresBatchOnceAFullDiskHasSpace() {
+    InitializeFolder();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 3);
+      {
+        const FullDisk full(store->log_bytes() + 20);
+        CPPUNIT_ASSERT(!TryWrite(*store, 4, 5));
+        CPPUNIT_ASSERT(!TryWrite(*store, 4, 5));
+      }
+      CPPUNIT_ASSERT(TryWrite(*store, 4, 5));
+      Write(*store, 9, 1);
+    }
+    const StorePtr store = Open();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9},
+                         store->recovered().m_state.m_entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, store->recovered().m_cut_bytes);
+  }
+
+  void StoresSnapshotOnceAFullDiskHasSpace() {
+    InitializeFolder();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 5);
+      for (const std::uint64_t space : {0, 50, 200, 300}) {
+        const FullDisk full(space);
+        CPPUNIT_ASSERT(
+            !Captured([&] { return store->Write(SnapshotBatch()); }));
+      }
+      CPPUNIT_ASSERT(Captured([&] { return store->Write(SnapshotBatch()); }));
+      Write(*store, 7, 1);
+    }
+    const StorePtr store = Open();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4},
+                         store->recovered().m_state.m_base_index);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         store->recovered().m_state.m_entries.size());
+  }
+
+  // Guards against a restart on a full disk that treats the folder as lost.
+  void OpensWithoutWritingToAFullDisk() {
+    InitializeFolder();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 3);
+    }
+    const FullDisk full(0);
+    const StorePtr store = Open();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         store->recovered().m_state.m_entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         store->recovered().m_id.m_generation);
+  }
+
  private:
+  /** Lets files grow to `bytes` only, like a disk without space. */
+  class FullDisk {
+   public:
+    explicit FullDisk(std::uint64_t bytes) {
+      std::signal(SIGXFSZ, SIG_IGN);
+      ::getrlimit(RLIMIT_FSIZE, &m_before);
+      rlimit full = m_before;
+      full.rlim_cur = bytes;
+      ::setrlimit(RLIMIT_FSIZE, &full);
+    }
+    FullDisk(const FullDisk&) = delete;
+    FullDisk& operator=(const FullDisk&) = delete;
+    ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &m_before); }
+
+   private:
+    rlimit m_before{};
+  };
+
+  /** @return whether the operation succeeded. */
+  template <typename Operation>
+  static bool Captured(Operation operation) {
+    const auto done = Capture<bool>([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(operation());
+      return true;
+    });
+    return std::holds_alternative<bool>(done);
+  }
+  static bool TryWrite(LogStore& store, std::uint64_t first, int count) {
+    return Captured([&] { return store.Write(MakeBatch(first, count)); });
+  }
+
   static Membership InitialMembers() {
     return Membership({{{"a", 1}, true}, {{"b", 1}, true}, {{"c", 1}, true}});
   }
@@ -156,7 +248,7 @@
     return entry;
   }
 
-  static void Write(LogStore& store, std::uint64_t first, int count) {
+  static DurableBatchOut MakeBatch(std::uint64_t first, int count) {
     DurableBatchOut out;
     out.m_batch.hard_state = std::make_unique<wire::HardStateT>();
     out.m_batch.hard_state->term = 7;
@@ -164,7 +256,10 @@
       out.m_batch.entries.push_back(
           Entry(first + static_cast<std::uint64_t>(i)));
     }
-    CPPUNIT_ASSERT(store.Write(out));
+    return out;
+  }
+  static void Write(LogStore& store, std::uint64_t first, int count) {
+    CPPUNIT_ASSERT(store.Write(MakeBatch(first, count)));
   }
 
   // A snapshot up to index 5; the log keeps entries 5 and 6 after base 4.
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(GangCompletesWithOneMember);
   CPPUNIT_TEST(TaskKeyTextRoundTrips);
   CPPUNIT_TEST(ImageRoundTripPreservesState);
+  CPPUNIT_TEST(IndexesEqualTheirRecomputation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -185,7 +186,57 @@
     }
   }
 
+  void IndexesEqualTheirRecomputation() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      setUp();
+      RegisterRunner("s", 1);
+      std::mt19937_64 random(seed);
+      for (int i = 0; i < 60; ++i) {
+        switch (random() % 12) {
+          case 0: {
+            wire::RemoveRunnerT remove;
+            remove.runner = random() % 2 == 0 ? "r" : "s";
+            remove.born_ms = 1 + random() % 3;
+            const std::string id = remove.runner;
+            Apply(std::move(remove));
+            CPPUNIT_ASSERT_EQUAL(std::string(), m_state->FindIndexError());
+            RegisterRunner(id, 1 + random() % 3);
+            break;
+          }
+          case 1: {
+            wire::OpenOccurrencesT open;
+            open.job = 100 + random() % 2;
+            AcceptPeriodicJob(open.job, 3);
+            open.up_to = 1 + random() % 3;
+            Apply(open);
+            break;
+          }
+          default:
+            ApplyRandomCommand(random);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), m_state->FindIndexError());
+      }
+      WorkState copy;
+      CPPUNIT_ASSERT(copy.Load(m_state->Image()));
+      CPPUNIT_ASSERT_EQUAL(std::string(), copy.FindIndexError());
+      CPPUNIT_ASSERT_EQUAL(m_state->startable().size(),
+                           copy.startable().size());
+    }
+  }
+
  private:
+  void AcceptPeriodicJob(JobId id, std::uint32_t times) {
+    wire::AcceptJobT accept;
+    accept.queue = "short";
+    accept.job = std::make_unique<wire::JobSpecT>();
+    accept.job->id = JobIdText(id);
+    accept.job->times = times;
+    accept.job->start_at_ms = kNowMs;
+    accept.job->interval_ms = 1000;
+    accept.job->steps.push_back(std::make_unique<wire::StepSpecT>());
+    accept.job->steps.back()->count = 2;
+    Apply(std::move(accept));
+  }
   static std::unique_ptr<wire::FleetConfigT> MakeConfig(std::uint64_t version) {
     auto config = std::make_unique<wire::FleetConfigT>();
     config->version = version;
