Relay calls to runners through the other members

Cause: the leader exchanged every start and every hold with the runners itself. In the peaks of a thousand runners it was saturated: 12,000 cores stood idle in a pool beside 5,000 ready ones, because starts were sent late.

Change: RelayTable spreads the runners beyond the first 64 over the live members by the greatest hash of both names; a member carries out a batch of calls and returns a batch of answers. It has no authority: epoch, run and lease are the leader's, and a call is not sent after a time on the member's own clock that is never later than the end of the leader's confirmed leadership. A call of a silent or restarted member counts as unanswered, and the next call to its runner goes directly.

--- a/include/bronzebarrow/node.h
+++ b/include/bronzebarrow/node.h
@@ -8,6 +8,7 @@
 #include "bronzebarrow/node/member_node.h"
 #include "bronzebarrow/node/peer_table.h"
 #include "bronzebarrow/node/protocol_codec.h"
+#include "bronzebarrow/node/relay_table.h"
 #include "bronzebarrow/node/work_core.h"
 
 #endif  // BRONZEBARROW_NODE_H_
--- a/include/bronzebarrow/node/leader_link.h
+++ b/include/bronzebarrow/node/leader_link.h
@@ -6,11 +6,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bronzebarrow/base/time.h"
@@ -29,6 +31,15 @@
   LeaderLink(boost::asio::any_io_executor executor, std::string own_name,
              std::vector<std::string> seeds);
 
+  using OnMemberFrame =
+      std::function<void(const std::string& member, wire::FrameT& frame)>;
+  using OnMemberConnect = std::function<void(const std::string& member)>;
+
+  /** Sets functions that are told of each frame and connection first. */
+  void SetObservers(OnMemberFrame on_frame, OnMemberConnect on_connect) {
+    m_on_member_frame = std::move(on_frame);
+    m_on_member_connect = std::move(on_connect);
+  }
   void Start();
   void Stop();
   /** Replaces the initial addresses; members learned from the group remain. */
@@ -73,6 +84,8 @@
 
   boost::asio::any_io_executor m_executor;
   std::string m_own_name;
+  OnMemberFrame m_on_member_frame;      // May be empty.
+  OnMemberConnect m_on_member_connect;  // May be empty.
   std::vector<std::string> m_seeds;
   PeerTable m_peers;
   std::set<std::string> m_members;
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -19,6 +19,7 @@
 #include "bronzebarrow/net.h"
 #include "bronzebarrow/node/leader_link.h"
 #include "bronzebarrow/node/protocol_codec.h"
+#include "bronzebarrow/node/relay_table.h"
 #include "bronzebarrow/node/work_core.h"
 
 namespace bronzebarrow::node {
@@ -41,6 +42,7 @@
   Duration m_election_timeout = Millis(600);
   Duration m_heartbeat = Millis(100);
   MachineOptions m_machines;
+  RelayOptions m_relays;
   // Connections to runners, the platform and the adviser.
   net::TargetPoolOptions m_connection_options;
 };
@@ -96,10 +98,25 @@
   void SendReply(OutgoingReply& reply);
   void SendViewsIfChanged();
   void SendView(const net::FrameConnectionPtr& connection);
+  // `may_send` is asked again once there is a connection.
   boost::asio::awaitable<std::optional<net::HttpResponse>> SendRequest(
       std::string address, net::HttpRequest request, Duration timeout,
-      bool* refused);
+      std::function<bool()> may_send, bool* refused);
+  boost::asio::awaitable<std::optional<net::HttpResponse>> SendLeaderRequest(
+      std::string address, net::HttpRequest request, Duration timeout);
+  boost::asio::awaitable<runs::RunnerAnswer> CallRunner(
+      const runs::RunnerCall& call, std::function<bool()> may_send);
   boost::asio::awaitable<void> SendRunnerCall(runs::RunnerCall call);
+  // The leader's side of relayed calls.
+  void SendRunnerCalls(std::vector<runs::RunnerCall> calls);
+  void OnMemberFrame(const std::string& member, wire::FrameT& frame);
+  void HandleOverdueCalls();
+  void OnRunnerAnswer(const runs::RunnerCall& call,
+                      const runs::RunnerAnswer& answer);
+  // The side of the member that relays calls.
+  boost::asio::awaitable<void> CarryOut(
+      net::FrameConnectionPtr leader, std::unique_ptr<wire::RelayedCallT> call);
+  void SendRelayedAnswers();
   boost::asio::awaitable<void> SendMachineRequest(
       fleet::MachineRequest request);
   boost::asio::awaitable<void> ReadMachineInventory();
@@ -114,6 +131,9 @@
   consensus::ReplicaId m_id;
   std::unique_ptr<WorkCore> m_core;
   LeaderLink m_leader_link;
+  RelayTable m_relays;
+  // Answers to relayed calls that are sent at the end of the current events.
+  std::map<net::FrameConnectionPtr, wire::RelayedAnswersT> m_relayed_answers;
   net::TargetPool m_connection_pool;
   Metrics m_metrics;
   boost::asio::steady_timer m_tick_timer;
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -103,6 +103,8 @@
    * leadership confirmed within the leader lease.
    */
   bool CanServe(Instant now) const;
+  /** @return until when CanServe holds without a further confirmation. */
+  Instant ServesUntil() const;
   /** @return the term, the leader and the members as this member sees them. */
   wire::GroupViewT View(Instant now) const;
   const consensus::Replica& replica() const { return m_replica; }
--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -39,6 +39,9 @@
           },
           [this](const std::string& peer) {
             m_last_received[peer] = Now();
+            if (m_on_member_connect) {
+              m_on_member_connect(peer);
+            }
             wire::FrameT frame;
             frame.sender = m_own_name;
             frame.body.Set(wire::ViewRequestT());
@@ -102,6 +105,9 @@
 void LeaderLink::OnFrame(const std::string& peer,
                          std::unique_ptr<wire::FrameT> frame) {
   m_last_received[peer] = Now();
+  if (m_on_member_frame) {
+    m_on_member_frame(peer, *frame);
+  }
   if (const auto* view = frame->body.AsGroupView()) {
     OnView(peer, *view);
     return;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -37,6 +37,12 @@
 constexpr int kMaxRetirePolls = 30;
 constexpr Duration kRemoteAttemptTimeout = Millis(500);
 
+// The clock by which the leader limits how long a relayed call may be sent.
+std::uint64_t ClockMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(Now().time_since_epoch()).count());
+}
+
 WorkCoreOptions MakeCoreOptions(const MemberSettings& settings,
                                 const consensus::ReplicaId& id) {
   std::random_device random;
@@ -186,6 +192,7 @@
           MakeCoreOptions(m_settings, m_id),
           std::move(m_log_store->recovered().m_state), CurrentMoment())),
       m_leader_link(executor, m_settings.m_name, m_settings.m_seeds),
+      m_relays(m_settings.m_relays),
       m_connection_pool(executor,
                         SerialPoolOptions(m_settings.m_connection_options)),
       m_tick_timer(executor) {}
@@ -206,6 +213,11 @@
   BOOST_LEAF_ASSIGN(
       m_acceptor,
       net::Acceptor::Listen(m_executor, m_settings.m_listen, on_socket));
+  m_leader_link.SetObservers(
+      [this](const std::string& member, wire::FrameT& frame) {
+        OnMemberFrame(member, frame);
+      },
+      [this](const std::string& member) { m_relays.OnConnect(member); });
   m_leader_link.Start();
   PerformActions();
   ScheduleTick();
@@ -257,6 +269,7 @@
     peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
     std::erase(peers, self->m_settings.m_name);
     self->m_core->SetPeers(std::move(peers));
+    self->HandleOverdueCalls();
     self->m_core->Tick(CurrentMoment());
     self->PerformActions();
     FlushLog();
@@ -274,6 +287,13 @@
     SendView(connection);
     return;
   }
+  if (auto* relayed = frame->body.AsRelayedCalls()) {
+    for (auto& call : relayed->calls) {
+      asio::co_spawn(m_executor, CarryOut(connection, std::move(call)),
+                     asio::detached);
+    }
+    return;
+  }
   if (const auto* call = frame->body.AsCall()) {
     const CallSource source = m_next_source++;
     m_remote_calls[source] = connection;
@@ -289,7 +309,9 @@
 void MemberNode::SendView(const net::FrameConnectionPtr& connection) {
   wire::FrameT frame;
   frame.sender = m_settings.m_name;
-  frame.body.Set(m_core->View(Now()));
+  wire::GroupViewT view = m_core->View(Now());
+  view.clock_ms = ClockMillis();
+  frame.body.Set(std::move(view));
   connection->Send(frame);
 }
 
@@ -321,9 +343,7 @@
   for (OutgoingReply& reply : m_core->TakeReplies()) {
     SendReply(reply);
   }
-  for (runs::RunnerCall& call : m_core->TakeRunnerCalls()) {
-    asio::co_spawn(m_executor, SendRunnerCall(std::move(call)), asio::detached);
-  }
+  SendRunnerCalls(m_core->TakeRunnerCalls());
   for (const std::string& address : m_core->TakeUnusedAddresses()) {
     const auto parsed =
         Capture<Address>([&] { return Address::Parse(address); });
@@ -438,7 +458,7 @@
 
 asio::awaitable<std::optional<net::HttpResponse>> MemberNode::SendRequest(
     std::string address, net::HttpRequest request, Duration timeout,
-    bool* refused) {
+    std::function<bool()> may_send, bool* refused) {
   const auto parsed = Capture<Address>([&] { return Address::Parse(address); });
   if (std::holds_alternative<Failure>(parsed)) {
     co_return std::nullopt;
@@ -453,7 +473,7 @@
   // Only the leader may call runners and the platform. If this process was
   // suspended while it connected, a new leader may have sent requests since
   // that this one would contradict.
-  if (!m_core->CanServe(Now())) {
+  if (!may_send()) {
     m_connection_pool.Release(target, connection);
     EventLine(Event::kCallUncertain, Severity::kWarning)
         .Field("call", std::string_view(request.target()))
@@ -471,13 +491,24 @@
   co_return std::move(result.m_response);
 }
 
-asio::awaitable<void> MemberNode::SendRunnerCall(runs::RunnerCall call) {
-  const auto self = shared_from_this();
+asio::awaitable<std::optional<net::HttpResponse>> MemberNode::SendLeaderRequest(
+    std::string address, net::HttpRequest request, Duration timeout) {
+  const std::function<bool()> may_send = [this] {
+    return m_core->CanServe(Now());
+  };
+  bool refused = false;
+  co_return co_await SendRequest(std::move(address), std::move(request),
+                                 timeout, may_send, &refused);
+}
+
+asio::awaitable<runs::RunnerAnswer> MemberNode::CallRunner(
+    const runs::RunnerCall& call, std::function<bool()> may_send) {
   const Instant begun = Now();
   bool refused = false;
-  const std::optional<net::HttpResponse> response = co_await SendRequest(
-      call.m_address, m_codec->Encode(call),
-      kRunnerResponseTimeout + Millis(call.m_wait_ms), &refused);
+  const std::optional<net::HttpResponse> response =
+      co_await SendRequest(call.m_address, m_codec->Encode(call),
+                           kRunnerResponseTimeout + Millis(call.m_wait_ms),
+                           std::move(may_send), &refused);
   runs::RunnerAnswer answer;
   if (response) {
     answer = m_codec->Decode(call, *response);
@@ -487,22 +518,127 @@
   const std::string label = "call=\"" + std::string(NameOf(call.m_kind)) + "\"";
   m_metrics.Observe("bronzebarrow_runner_call_seconds", label,
                     std::chrono::duration<double>(Now() - begun).count());
+  co_return answer;
+}
+
+asio::awaitable<void> MemberNode::SendRunnerCall(runs::RunnerCall call) {
+  const auto self = shared_from_this();
+  const std::function<bool()> may_send = [this] {
+    return m_core->CanServe(Now());
+  };
+  const runs::RunnerAnswer answer = co_await CallRunner(call, may_send);
+  OnRunnerAnswer(call, answer);
+  PerformActions();
+}
+
+void MemberNode::OnRunnerAnswer(const runs::RunnerCall& call,
+                                const runs::RunnerAnswer& answer) {
   if (answer.m_kind != runs::AnswerKind::kOk) {
-    m_metrics.Count(
-        "bronzebarrow_runner_calls_failed_total",
-        label + ",answer=\"" + std::string(NameOf(answer.m_kind)) + "\"");
+    m_metrics.Count("bronzebarrow_runner_calls_failed_total",
+                    "call=\"" + std::string(NameOf(call.m_kind)) +
+                        "\",answer=\"" + std::string(NameOf(answer.m_kind)) +
+                        "\"");
   }
   m_core->OnRunnerAnswer(call, answer, CurrentMoment());
+}
+
+// Calls to a runner that left the last one unanswered go directly, in case only
+// the other member cannot reach it.
+void MemberNode::SendRunnerCalls(std::vector<runs::RunnerCall> calls) {
+  const Instant now = Now();
+  const std::size_t runners = m_core->state().runners().size();
+  std::map<std::string, wire::RelayedCallsT> batches;
+  for (runs::RunnerCall& call : calls) {
+    const runs::RunnerLink* const link =
+        m_core->dispatcher().FindLink(call.m_runner);
+    const std::string member =
+        link == nullptr || link->m_consecutive_timeouts > 0
+            ? ""
+            : m_relays.ChooseMember(call.m_runner, runners, now);
+    if (member.empty()) {
+      asio::co_spawn(m_executor, SendRunnerCall(std::move(call)),
+                     asio::detached);
+    } else {
+      batches[member].calls.push_back(std::make_unique<wire::RelayedCallT>(
+          m_relays.Add(member, call, m_core->ServesUntil(), now)));
+    }
+  }
+  for (auto& [member, batch] : batches) {
+    m_metrics.Count("bronzebarrow_relayed_calls_total",
+                    "member=\"" + member + "\"", batch.calls.size());
+    wire::FrameT frame;
+    frame.sender = m_settings.m_name;
+    frame.body.Set(std::move(batch));
+    m_leader_link.Send(member, frame);
+  }
+}
+
+void MemberNode::OnMemberFrame(const std::string& member, wire::FrameT& frame) {
+  const Instant now = Now();
+  m_relays.OnFrame(member, now);
+  if (const auto* view = frame.body.AsGroupView()) {
+    m_relays.OnClock(member, view->clock_ms, now);
+    return;
+  }
+  const auto* const batch = frame.body.AsRelayedAnswers();
+  if (batch == nullptr || m_stopping) {
+    return;
+  }
+  for (const auto& relayed : batch->answers) {
+    if (const auto call = m_relays.Take(member, relayed->id)) {
+      OnRunnerAnswer(*call, FromWire(*relayed));
+    }
+  }
   PerformActions();
 }
 
+void MemberNode::HandleOverdueCalls() {
+  for (const runs::RunnerCall& call : m_relays.TakeOverdue(Now())) {
+    OnRunnerAnswer(call, runs::RunnerAnswer());
+  }
+}
+
+asio::awaitable<void> MemberNode::CarryOut(
+    net::FrameConnectionPtr leader, std::unique_ptr<wire::RelayedCallT> call) {
+  const auto self = shared_from_this();
+  const std::uint64_t not_after_ms = call->not_after_ms;
+  const std::function<bool()> may_send = [not_after_ms] {
+    return ClockMillis() <= not_after_ms;
+  };
+  const runs::RunnerCall runner_call = FromWire(*call);
+  wire::RelayedAnswerT relayed;
+  if (may_send()) {
+    relayed = ToWire(co_await CallRunner(runner_call, may_send));
+  } else {
+    EventLine(Event::kCallUncertain, Severity::kWarning)
+        .Field("call", NameOf(runner_call.m_kind))
+        .Field("runner", runner_call.m_runner)
+        .Field("late_ms", ClockMillis() - not_after_ms)
+        .Field("why", "not sent: the leader's permission has expired");
+    relayed = ToWire(runs::RunnerAnswer());
+  }
+  relayed.id = call->id;
+  if (m_relayed_answers.empty()) {
+    asio::post(m_executor, [self] { self->SendRelayedAnswers(); });
+  }
+  m_relayed_answers[leader].answers.push_back(
+      std::make_unique<wire::RelayedAnswerT>(std::move(relayed)));
+}
+
+void MemberNode::SendRelayedAnswers() {
+  for (auto& [leader, answers] : std::exchange(m_relayed_answers, {})) {
+    wire::FrameT frame;
+    frame.sender = m_settings.m_name;
+    frame.body.Set(std::move(answers));
+    leader->Send(frame);
+  }
+}
+
 asio::awaitable<void> MemberNode::SendMachineRequest(
     fleet::MachineRequest request) {
   const auto self = shared_from_this();
-  bool refused = false;
-  const auto response =
-      co_await SendRequest(m_settings.m_platform_address,
-                           m_codec->Encode(request), kMachineTimeout, &refused);
+  const auto response = co_await SendLeaderRequest(
+      m_settings.m_platform_address, m_codec->Encode(request), kMachineTimeout);
   m_core->OnMachineAnswer(
       request,
       response ? m_codec->Decode(*response) : fleet::MachineResponse::kNoAnswer,
@@ -515,10 +651,9 @@
   std::vector<fleet::Machine> machines;
   std::string page;
   for (int i = 0; i < kMaxInventoryPages; ++i) {
-    bool refused = false;
-    const auto response = co_await SendRequest(
+    const auto response = co_await SendLeaderRequest(
         m_settings.m_platform_address, m_codec->EncodeInventoryRequest(page),
-        kMachineTimeout, &refused);
+        kMachineTimeout);
     const auto next = response
                           ? m_codec->DecodeInventoryPage(*response, machines)
                           : std::nullopt;
@@ -543,10 +678,9 @@
   const std::string step = request.m_job_name + '.' +
                            std::to_string(request.m_step.m_occurrence) + '.' +
                            std::to_string(request.m_step.m_step);
-  bool refused = false;
-  const auto response = co_await SendRequest(
+  const auto response = co_await SendLeaderRequest(
       m_settings.m_adviser_address,
-      m_codec->EncodeAdvice(step, request.m_runners), kAdviceTimeout, &refused);
+      m_codec->EncodeAdvice(step, request.m_runners), kAdviceTimeout);
   const std::optional<Advice> advice =
       response ? m_codec->DecodeAdvice(*response) : std::nullopt;
   EventLine(Event::kAdviceTaken)
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -199,6 +199,12 @@
          now <= *m_replica.confirmed_at() + m_options.m_leader_lease;
 }
 
+Instant WorkCore::ServesUntil() const {
+  return m_replica.confirmed_at()
+             ? *m_replica.confirmed_at() + m_options.m_leader_lease
+             : Instant();
+}
+
 wire::GroupViewT WorkCore::View(Instant now) const {
   wire::GroupViewT view;
   view.term = m_replica.term();
