Let followers acknowledge repeated heartbeats; find links of runners by hash

Cause: 1,100 runners report every 1.5 s, and each report was a frame to the leader, which found nothing new in it; each plan looked up links and runners in ordered maps by name. Change: a member in contact with the leader acknowledges a report that repeats what is registered; one in four still goes to the leader, which compares sequence numbers. Drains, moves and new incarnations differ and always go there.

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -85,7 +85,7 @@
   void OnAnswer(const fleet::MachineRequest& request,
                 fleet::MachineResponse answer, Instant now);
   /** @return whether the runner may be assigned new runs. */
-  bool AcceptsWork(const std::string& runner) const;
+  bool AcceptsWork(const jobs::Runner& runner) const;
   /** @return whether an upkeep of the machine is due in some wave. */
   bool IsUpkeepDue(const std::string& machine) const;
 
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -103,6 +103,11 @@
    * leadership confirmed within the leader lease.
    */
   bool CanServe(Instant now) const;
+  /**
+   * @return whether the report repeats what is registered, so that a member
+   * that is in contact with the leader can acknowledge it itself
+   */
+  bool IsRepeatedReport(const wire::ReportRunnerCallT& report) const;
   /** @return until when CanServe holds without a further confirmation. */
   Instant ServesUntil() const;
   /** @return the term, the leader and the members as this member sees them. */
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -51,7 +51,7 @@
 
   const jobs::WorkState& m_state;
   std::uint64_t m_now_ms = 0;
-  std::function<bool(const std::string& runner)> m_is_usable;
+  std::function<bool(const jobs::Runner& runner)> m_is_usable;
   /**
    * Whether the machine goes down soon for upkeep; long-running tasks are
    * placed elsewhere if possible.
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -5,8 +5,8 @@
 #define BRONZEBARROW_RUNS_DISPATCHER_H_
 
 #include <cstdint>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "bronzebarrow/jobs.h"
@@ -95,7 +95,6 @@
   /** @return whether new runs may be assigned to the runner now. */
   bool IsUsable(const std::string& runner, Instant now) const;
   const RunnerLink* FindLink(const std::string& runner) const;
-  const std::map<std::string, RunnerLink>& links() const { return m_links; }
 
  private:
   void RefreshLink(const std::string& runner, Instant now);
@@ -131,7 +130,8 @@
   const jobs::WorkState& m_state;
   DispatcherOptions m_options;
   std::uint64_t m_epoch = 0;  // Fencing token; 0: not the owner.
-  std::map<std::string, RunnerLink> m_links;  // One per registered runner.
+  // One per registered runner. Looked up for each candidate of each plan.
+  std::unordered_map<std::string, RunnerLink> m_links;
   std::unordered_map<jobs::TaskKey, std::string> m_tickets;
   std::vector<RunnerCall> m_calls;
   std::vector<wire::WorkBodyUnion> m_commands;
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -57,17 +57,13 @@
 
 // Until the platform accepts the request, no incarnation of the machine's
 // runner gets new work. Afterwards any but the removed incarnation does.
-bool MachinePlanner::AcceptsWork(const std::string& id) const {
-  const jobs::Runner* const runner = m_state.FindRunner(id);
-  if (runner == nullptr) {
-    return false;
-  }
-  const auto operation = m_operations.find(runner->m_record.machine);
+bool MachinePlanner::AcceptsWork(const jobs::Runner& runner) const {
+  const auto operation = m_operations.find(runner.m_record.machine);
   if (operation == m_operations.end()) {
     return true;
   }
   return operation->second.m_phase == Phase::kDown &&
-         !IsDrainedIncarnation(operation->second, *runner);
+         !IsDrainedIncarnation(operation->second, runner);
 }
 
 bool MachinePlanner::IsDrainedIncarnation(const Operation& operation,
@@ -451,8 +447,8 @@
   }
   for (const auto& [id, runner] : m_state.runners()) {
     const auto load = loads.find(runner.m_record.pool);
-    if (load == loads.end() || runner.m_record.draining || !AcceptsWork(id) ||
-        !m_dispatcher.IsUsable(id, moment.m_now)) {
+    if (load == loads.end() || runner.m_record.draining ||
+        !AcceptsWork(runner) || !m_dispatcher.IsUsable(id, moment.m_now)) {
       continue;
     }
     ++load->second.m_machines;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -36,6 +36,8 @@
 constexpr Duration kRetirePollInterval = Millis(50);
 constexpr int kMaxRetirePolls = 30;
 constexpr Duration kRemoteAttemptTimeout = Millis(500);
+// Members send their view every 400 ms; two may be missing.
+constexpr Duration kRecentLeaderContact = Millis(1000);
 
 // The clock by which the leader limits how long a relayed call may be sent.
 std::uint64_t ClockMillis() {
@@ -423,6 +425,12 @@
 asio::awaitable<wire::CallReplyT> MemberNode::Call(wire::CallBodyUnion body,
                                                    Instant deadline) {
   wire::CallReplyT reply;
+  const auto* const report = body.AsReportRunnerCall();
+  if (report != nullptr && m_core->IsRepeatedReport(*report) &&
+      m_leader_link.HasRecentLeaderContact(Now(), kRecentLeaderContact)) {
+    reply.outcome = wire::CallOutcome::Accepted;
+    co_return reply;
+  }
   reply.outcome = wire::CallOutcome::NotRun;
   bool uncertain = false;
   while (Now() < deadline && !m_stopping) {
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -12,6 +12,19 @@
 // last one are ignored, because delayed ones must not register it again at
 // once; a runner that sends more is running and is registered again.
 constexpr std::uint64_t kIgnoredHeartbeatsAfterRemoval = 2;
+// One in this many repeated heartbeats still reaches the leader, which compares
+// the sequence numbers of delayed ones with it.
+constexpr std::uint64_t kHeartbeatsPerForwarded = 4;
+
+bool IsUnchanged(const wire::RunnerRecordT& record,
+                 const wire::RunnerRecordT& reported) {
+  return record.born_ms == reported.born_ms &&
+         record.address == reported.address && record.pool == reported.pool &&
+         record.draining == reported.draining &&
+         record.labels == reported.labels &&
+         record.cpu_milli == reported.cpu_milli &&
+         record.memory_mb == reported.memory_mb && record.gpu == reported.gpu;
+}
 
 }  // namespace
 
@@ -288,15 +301,8 @@
     record = registered->m_record;
     record.sequence = sequence;
   }
-  const bool is_unchanged = registered != nullptr &&
-                            record.born_ms == born_ms &&
-                            record.address == report.runner->address &&
-                            record.pool == report.runner->pool &&
-                            record.draining == report.runner->draining &&
-                            record.labels == report.runner->labels &&
-                            record.cpu_milli == report.runner->cpu_milli &&
-                            record.memory_mb == report.runner->memory_mb &&
-                            record.gpu == report.runner->gpu;
+  const bool is_unchanged =
+      registered != nullptr && IsUnchanged(record, *report.runner);
   const bool is_older_incarnation =
       registered != nullptr && born_ms < registered->m_record.born_ms;
   if (is_unchanged || is_older_incarnation) {
@@ -318,6 +324,16 @@
                  wire::WorkBody::RegisterRunner);
 }
 
+bool WorkCore::IsRepeatedReport(const wire::ReportRunnerCallT& report) const {
+  if (report.leaves || !report.runner ||
+      report.runner->sequence % kHeartbeatsPerForwarded == 0) {
+    return false;
+  }
+  const jobs::Runner* const registered = m_state.FindRunner(report.runner->id);
+  return registered != nullptr &&
+         IsUnchanged(registered->m_record, *report.runner);
+}
+
 void WorkCore::StartUpkeep(CallSource source, std::uint64_t call_id,
                            const wire::CallBodyUnion& body) {
   const auto& upkeep = body.AsStartUpkeepCall()->upkeep;
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -384,8 +384,8 @@
   m_last_plan = m_moment.m_now;
   placement::PlanInput input(m_state);
   input.m_now_ms = m_moment.m_wall_ms;
-  input.m_is_usable = [this](const std::string& runner) {
-    return m_dispatcher.IsUsable(runner, m_moment.m_now) &&
+  input.m_is_usable = [this](const jobs::Runner& runner) {
+    return m_dispatcher.IsUsable(runner.m_record.id, m_moment.m_now) &&
            m_machine_planner.AcceptsWork(runner);
   };
   input.m_goes_down_soon = [this](const std::string& machine) {
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -109,7 +109,7 @@
     for (const auto& [id, runner] : m_input.m_state.RunnersOfPool(name)) {
       const jobs::Resources free = runner->FreeResources();
       if (runner->m_record.draining || !pool.m_least_need ||
-          !free.Fits(*pool.m_least_need) || !m_input.m_is_usable(id)) {
+          !free.Fits(*pool.m_least_need) || !m_input.m_is_usable(*runner)) {
         continue;
       }
       const bool goes_down_soon =
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -360,7 +360,7 @@
   std::map<jobs::TaskKey, std::string> PlanNow() {
     PlanInput input(*m_state);
     input.m_now_ms = kNowMs;
-    input.m_is_usable = [](const std::string&) { return true; };
+    input.m_is_usable = [](const jobs::Runner&) { return true; };
     std::map<jobs::TaskKey, std::string> runs;
     for (const Placement& placement : PlanAssignments(input)) {
       for (const jobs::RunKey& run : placement.m_runs) {
