Admit by phases of capacity and typical estimates; count runners being fenced

The prediction took machines that already move as arriving in 2 s, and one estimate far too short made its job seem late at once. After a change of the owner every pool seemed empty until its runners had answered.

Change: capacity grows in phases (now, halfway of a move, after a move); objectives lean by two thirds on the mean declared step of the queue; runners being fenced count for 2 s.

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -90,8 +90,10 @@
   bool IsUpkeepDue(const std::string& machine) const;
 
   /** @param milli by pool, as AdmissionControl::RejectedMilli */
-  void SetRejectedDemand(std::map<std::string, std::int64_t> milli) {
+  void SetDemandInputs(std::map<std::string, std::int64_t> milli,
+                       placement::TypicalSteps typical) {
     m_rejected_milli = std::move(milli);
+    m_typical = std::move(typical);
   }
   /** @return the outlook of all pools if it was computed since the last call.
    */
@@ -155,6 +157,7 @@
                    Instant now);
   bool HasReturned(const std::string& machine, const Operation& operation,
                    Instant now) const;
+  bool IsBeingFenced(const std::string& runner) const;
   void BalancePools(Moment moment);
   static void LogPools(const std::vector<placement::PoolLoad>& loads);
   std::vector<placement::PoolLoad> ComputePoolLoads(Moment moment);
@@ -179,6 +182,7 @@
   // By pool: when it last had more than half of all demand, its demand peak.
   std::map<std::string, Instant> m_last_peak;
   std::map<std::string, std::int64_t> m_rejected_milli;  // By pool.
+  placement::TypicalSteps m_typical;
   std::optional<std::map<std::string, placement::PoolOutlook>> m_outlook;
   double m_allowed_moves = 0;  // Moves that the platform's rate permits now.
   std::int64_t m_largest_machine_milli = 0;  // CPU of the largest machine.
--- a/include/bronzebarrow/placement/admission.h
+++ b/include/bronzebarrow/placement/admission.h
@@ -25,24 +25,28 @@
   std::int64_t m_capacity_milli = 0;  // Of the usable machines.
   /** Of m_capacity_milli, what neither assigned nor startable tasks use. */
   std::int64_t m_free_milli = 0;
-  /** Of machines that move there, or that no other pool needs. */
-  std::int64_t m_arriving_milli = 0;
+  std::int64_t m_moving_milli = 0;     // Of machines that move there.
+  std::int64_t m_available_milli = 0;  // Of machines that no other pool needs.
   /** As PoolDemand. */
-  std::map<std::uint32_t, std::int64_t> m_waiting_work;
-  std::int64_t m_late_work = 0;
+  std::map<std::uint32_t, Work> m_waiting_work;
+  Work m_late_work;
 };
 
 /** @return the outlook of each pool, by name. */
 std::map<std::string, PoolOutlook> OutlookOf(const std::vector<PoolLoad>& pools,
                                              const BalanceOptions& options);
 
-/** @return the time in milliseconds that the pool takes for `work`. */
+/**
+ * @param move_ms time until a machine that is moved now takes tasks; those that
+ * move already are halfway there on average
+ * @return the time in milliseconds that the pool takes for `work`
+ */
 std::int64_t DrainMs(const PoolOutlook& pool, std::int64_t work,
-                     std::int64_t arrival_ms);
+                     std::int64_t move_ms);
 
 struct AdmissionOptions {
-  /** Time until an arriving machine takes tasks: its move and its start. */
-  std::int64_t m_arrival_ms = 2000;
+  /** Time until a machine that is moved now takes tasks. */
+  std::int64_t m_move_ms = 1600;
   /** Time for which a rejected job counts as demand of its pool. */
   Duration m_demand_memory = Millis(1000);
   /**
@@ -63,8 +67,10 @@
 };
 
 /**
- * Accepts a job that finds room at once. Else predicts when it would end from
- * the work that is served before it. The prediction takes every machine that no
+ * Accepts a job that finds room at once. Else predicts when it would end: its
+ * first step starts after the tasks that could start now, and its last one ends
+ * after all work that was accepted before, because started jobs come first. The
+ * prediction takes every machine that no
  * pool needs as arriving, so a rejected job could not have met its objective. A
  * caller that returns too late for that is accepted once no other work waits,
  * so that it takes no room from jobs that can still be on time. Rejected
@@ -80,6 +86,7 @@
     m_pools = std::move(pools);
   }
   void Clear();
+  const TypicalSteps& typical() const { return m_typical; }
 
   /**
    * An accepted job adds to the work of its pool until the next update. Jobs
@@ -111,6 +118,7 @@
   void Forget(Instant now);
 
   AdmissionOptions m_options;
+  TypicalSteps m_typical;
   std::map<std::string, PoolOutlook> m_pools;  // By name.
   std::deque<Rejection> m_rejections;          // Oldest first.
   // When each job of m_rejections was first rejected.
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -24,6 +24,25 @@
 std::int64_t ObjectiveMs(const wire::QueueSpecT& queue,
                          std::int64_t critical_path_ms);
 
+/**
+ * Learns how long a step of each queue is declared to take. Single estimates
+ * are off by up to 0.9 of the true time, so one that is far too short would
+ * make its job seem late at once; their mean is not.
+ */
+class TypicalSteps {
+ public:
+  void Record(const jobs::Job& job);
+  void Clear() { m_step_ms.clear(); }
+  /**
+   * @return the estimated length of the job's critical path, with steps that
+   * are not shorter than typical for its queue, in milliseconds
+   */
+  std::int64_t CriticalPathMs(const jobs::Job& job) const;
+
+ private:
+  std::map<std::string, double> m_step_ms;  // Moving mean by queue.
+};
+
 /**
  * Whether a job would meet its queue's objective if it were placed now. The
  * order of the values is the order of placement.
@@ -52,7 +71,20 @@
  * order of acceptance
  */
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
-                                std::uint64_t now_ms);
+                                std::uint64_t now_ms,
+                                const TypicalSteps& typical = {});
+
+/** Estimated work, in thousandths of a core times milliseconds. */
+struct Work {
+  std::int64_t m_startable = 0;  // Of tasks that could start now.
+  std::int64_t m_all = 0;        // Also of the later steps of their jobs.
+
+  Work& operator+=(const Work& other) {
+    m_startable += other.m_startable;
+    m_all += other.m_all;
+    return *this;
+  }
+};
 
 /** Demand of the jobs of one pool. */
 struct PoolDemand {
@@ -66,13 +98,11 @@
   /** CPU assigned to tasks of late and expired jobs. */
   std::int64_t m_late_used_milli = 0;
   /**
-   * By priority value of the queue: estimated work of the waiting tasks of jobs
-   * that can still meet their objective, in thousandths of a core times
-   * milliseconds.
+   * By priority value of the queue: waiting work of jobs that can still meet
+   * their objective.
    */
-  std::map<std::uint32_t, std::int64_t> m_waiting_work;
-  /** The same of late jobs of all queues. */
-  std::int64_t m_late_work = 0;
+  std::map<std::uint32_t, Work> m_waiting_work;
+  Work m_late_work;  // The same of late jobs of all queues.
   /**
    * Machines that one step needs because its number of tasks per runner is
    * limited; the largest such need of any step.
@@ -84,8 +114,9 @@
  * @return the demand by pool; tasks that wait of jobs past their useful
  * deadline do not count
  */
-std::map<std::string, PoolDemand> DemandByPool(const jobs::WorkState& state,
-                                               std::uint64_t now_ms);
+std::map<std::string, PoolDemand> DemandByPool(
+    const jobs::WorkState& state, std::uint64_t now_ms,
+    const TypicalSteps& typical = {});
 
 }  // namespace bronzebarrow::placement
 
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "bronzebarrow/jobs.h"
+#include "bronzebarrow/placement/job_order.h"
 
 namespace bronzebarrow::placement {
 
@@ -51,6 +52,7 @@
 
   const jobs::WorkState& m_state;
   std::uint64_t m_now_ms = 0;
+  TypicalSteps m_typical;
   std::function<bool(const jobs::Runner& runner)> m_is_usable;
   /**
    * Whether the machine goes down soon for upkeep; long-running tasks are
--- a/include/bronzebarrow/placement/pool_balance.h
+++ b/include/bronzebarrow/placement/pool_balance.h
@@ -14,6 +14,8 @@
 #include <string>
 #include <vector>
 
+#include "bronzebarrow/placement/job_order.h"
+
 namespace bronzebarrow::placement {
 
 /** A machine that may leave its pool: it runs no long-running task. */
@@ -40,11 +42,11 @@
   std::int64_t m_ready_milli = 0;
   std::int64_t m_late_milli = 0;
   std::int64_t m_late_used_milli = 0;
-  std::int64_t m_late_work = 0;
+  Work m_late_work;
   // CPU that recently rejected jobs would have used: what the pool lacks must
   // not seem less because its jobs are rejected.
   std::int64_t m_rejected_milli = 0;
-  std::map<std::uint32_t, std::int64_t> m_waiting_work;
+  std::map<std::uint32_t, Work> m_waiting_work;
   std::int64_t m_spread_machines = 0;  // As PoolDemand::m_spread_machines.
   // Time since the pool last had a backlog, on time or late.
   std::int64_t m_no_backlog_ms = 0;
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -21,6 +21,8 @@
 // of the platform's request rate. Their sum keeps any second within the rate.
 constexpr double kBurstShare = 0.25;
 constexpr double kSteadyShare = 0.75;
+// Time within which a new owner reaches every runner that answers at all.
+constexpr Duration kFencingTime = Millis(2000);
 // A machine without a runner, or with the runner that was removed, counts as
 // returned this long after the duration of an upkeep.
 constexpr Duration kReturnMargin = Millis(500);
@@ -437,6 +439,14 @@
                     (is_drained_incarnation ? kReturnMargin : Duration::zero());
 }
 
+// After a change of the owner no runner is usable until its first answer. They
+// count as their pools' machines for that time, or every pool would seem empty.
+bool MachinePlanner::IsBeingFenced(const std::string& runner) const {
+  const runs::RunnerLink* const link = m_dispatcher.FindLink(runner);
+  return link != nullptr && !link->m_fenced &&
+         m_now < link->m_last_answer + kFencingTime;
+}
+
 std::vector<placement::PoolLoad> MachinePlanner::ComputePoolLoads(
     Moment moment) {
   std::map<std::string, placement::PoolLoad> loads;
@@ -448,14 +458,19 @@
   for (const auto& [id, runner] : m_state.runners()) {
     const auto load = loads.find(runner.m_record.pool);
     if (load == loads.end() || runner.m_record.draining ||
-        !AcceptsWork(runner) || !m_dispatcher.IsUsable(id, moment.m_now)) {
+        !AcceptsWork(runner)) {
+      continue;
+    }
+    const bool is_usable = m_dispatcher.IsUsable(id, moment.m_now);
+    if (!is_usable && !IsBeingFenced(id)) {
       continue;
     }
     ++load->second.m_machines;
     load->second.m_machine_milli = runner.m_record.cpu_milli;
     load->second.m_used_milli += runner.m_used.m_cpu_milli;
     load->second.m_long_running_milli += runner.m_long_running_milli;
-    if (runner.m_long_running == 0 && !runner.m_record.machine.empty() &&
+    if (is_usable && runner.m_long_running == 0 &&
+        !runner.m_record.machine.empty() &&
         !m_operations.contains(runner.m_record.machine) &&
         IsHandoverOver(runner.m_record.machine)) {
       load->second.m_movable.push_back(
@@ -480,7 +495,8 @@
       load->second.m_movable.push_back({name, 0});
     }
   }
-  const auto demands = placement::DemandByPool(m_state, moment.m_wall_ms);
+  const auto demands =
+      placement::DemandByPool(m_state, moment.m_wall_ms, m_typical);
   std::int64_t all_demand = 0;
   for (auto& [name, load] : loads) {
     const auto demand = demands.find(name);
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -129,6 +129,7 @@
   }
   jobs::Job job;
   job.m_id = *id;
+  job.m_queue = queue->name;
   job.SetSpec(*submit.job);
   const placement::AdmissionDecision decision =
       m_admission.Decide(*queue, job, m_moment.m_now);
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -52,8 +52,8 @@
     HandOffIfDiskStalled();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
-      m_machine_planner.SetRejectedDemand(
-          m_admission.RejectedMilli(moment.m_now));
+      m_machine_planner.SetDemandInputs(m_admission.RejectedMilli(moment.m_now),
+                                        m_admission.typical());
       m_machine_planner.Tick(
           moment, {m_next_token, m_pending_assignments.empty()
                                      ? m_next_token
@@ -384,6 +384,7 @@
   m_last_plan = m_moment.m_now;
   placement::PlanInput input(m_state);
   input.m_now_ms = m_moment.m_wall_ms;
+  input.m_typical = m_admission.typical();
   input.m_is_usable = [this](const jobs::Runner& runner) {
     return m_dispatcher.IsUsable(runner.m_record.id, m_moment.m_now) &&
            m_machine_planner.AcceptsWork(runner);
--- a/src/placement/admission.cc
+++ b/src/placement/admission.cc
@@ -2,6 +2,7 @@
 #include "bronzebarrow/placement/admission.h"
 
 #include <algorithm>
+#include <array>
 
 #include "bronzebarrow/placement/job_order.h"
 
@@ -14,11 +15,14 @@
 // time from the end of a task until the next one is assigned.
 constexpr std::int64_t kRoomAtOnceMs = 50;
 
-std::int64_t WorkOf(const wire::JobSpecT& spec) {
-  std::int64_t work = 0;
+Work WorkOf(const wire::JobSpecT& spec) {
+  Work work;
   for (const auto& step : spec.steps) {
-    work += step->count * jobs::ResourcesOf(*step).m_cpu_milli *
-            std::int64_t{step->estimate_ms};
+    const std::int64_t step_work = step->count *
+                                   jobs::ResourcesOf(*step).m_cpu_milli *
+                                   std::int64_t{step->estimate_ms};
+    work.m_all += step_work;
+    work.m_startable += step->depends_on.empty() ? step_work : 0;
   }
   return work;
 }
@@ -33,10 +37,10 @@
 }
 
 // Work of the pool's jobs that are served before a new one of `priority`.
-std::int64_t WorkBefore(const PoolOutlook& pool, std::uint32_t priority) {
-  std::int64_t before = 0;
+Work WorkBefore(const PoolOutlook& pool, std::uint32_t priority) {
+  Work before;
   for (const auto& [other, work] : pool.m_waiting_work) {
-    before += other <= priority ? work : 0;
+    before += other <= priority ? work : Work();
   }
   return before;
 }
@@ -58,9 +62,9 @@
     outlook.m_free_milli = outlook.m_capacity_milli +
                            pool.m_long_running_milli - pool.m_used_milli -
                            pool.m_ready_milli - pool.m_late_milli;
-    outlook.m_arriving_milli =
-        (pool.m_moving_here + all_surplus - SurplusMachines(pool, options)) *
-        pool.m_machine_milli;
+    outlook.m_moving_milli = pool.m_moving_here * pool.m_machine_milli;
+    outlook.m_available_milli =
+        (all_surplus - SurplusMachines(pool, options)) * pool.m_machine_milli;
     outlook.m_waiting_work = pool.m_waiting_work;
     outlook.m_late_work = pool.m_late_work;
   }
@@ -68,18 +72,33 @@
 }
 
 std::int64_t DrainMs(const PoolOutlook& pool, std::int64_t work,
-                     std::int64_t arrival_ms) {
-  const std::int64_t until_arrival = pool.m_capacity_milli * arrival_ms;
-  if (work <= until_arrival) {
-    return pool.m_capacity_milli > 0 ? work / pool.m_capacity_milli : 0;
+                     std::int64_t move_ms) {
+  // Capacity from each time on.
+  struct Phase {
+    std::int64_t m_from_ms;
+    std::int64_t m_milli;
+  };
+  const std::int64_t moved = pool.m_capacity_milli + pool.m_moving_milli;
+  const std::array<Phase, 3> phases = {
+      {{0, pool.m_capacity_milli},
+       {move_ms / 2, moved},
+       {move_ms, moved + pool.m_available_milli}}};
+  for (std::size_t i = 0; i < phases.size(); ++i) {
+    const auto [from_ms, milli] = phases.at(i);
+    const bool is_last = i + 1 == phases.size();
+    const std::int64_t done =
+        is_last ? work : milli * (phases.at(i + 1).m_from_ms - from_ms);
+    if (work <= done && (milli > 0 || work <= 0)) {
+      return std::min(kMaxDrainMs,
+                      work <= 0 ? from_ms : from_ms + work / milli);
+    }
+    work -= done;
   }
-  const std::int64_t later = pool.m_capacity_milli + pool.m_arriving_milli;
-  return later <= 0 ? kMaxDrainMs
-                    : std::min(kMaxDrainMs,
-                               arrival_ms + (work - until_arrival) / later);
+  return kMaxDrainMs;
 }
 
 void AdmissionControl::Clear() {
+  m_typical.Clear();
   m_pools.clear();
   m_rejections.clear();
   m_first_rejected.clear();
@@ -114,31 +133,35 @@
   if (pool.m_free_milli >= WidestStepMilli(job.m_spec)) {
     return true;
   }
-  const std::int64_t work_before = WorkBefore(pool, queue.priority);
-  decision.m_wait_ms = DrainMs(pool, work_before, m_options.m_arrival_ms);
-  const std::int64_t critical_path_ms = job.CriticalPathMs(nullptr);
-  if (decision.m_age_ms + decision.m_wait_ms + critical_path_ms <=
-      ObjectiveMs(queue, critical_path_ms)) {
+  const Work before = WorkBefore(pool, queue.priority);
+  const auto drain_ms = [&](std::int64_t work) {
+    return DrainMs(pool, work, m_options.m_move_ms);
+  };
+  decision.m_wait_ms = drain_ms(before.m_all);
+  const std::int64_t critical_path_ms = m_typical.CriticalPathMs(job);
+  const std::int64_t end_ms = decision.m_wait_ms + critical_path_ms;
+  if (decision.m_age_ms + end_ms <= ObjectiveMs(queue, critical_path_ms)) {
     return true;
   }
   return decision.m_age_ms > 0 &&
-         DrainMs(pool, work_before + pool.m_late_work,
-                 m_options.m_arrival_ms) <= kRoomAtOnceMs;
+         drain_ms(before.m_startable + pool.m_late_work.m_startable) <=
+             kRoomAtOnceMs;
 }
 
 std::uint32_t AdmissionControl::NextReturnMs(const PoolOutlook& pool,
                                              const wire::QueueSpecT& queue,
                                              const jobs::Job& job,
                                              Instant now) {
-  const std::int64_t drain_ms =
-      DrainMs(pool, WorkBefore(pool, queue.priority) + pool.m_late_work,
-              m_options.m_arrival_ms);
-  const std::int64_t capacity =
-      std::max(pool.m_capacity_milli + pool.m_arriving_milli, std::int64_t{1});
+  const std::int64_t drain_ms = DrainMs(
+      pool, WorkBefore(pool, queue.priority).m_all + pool.m_late_work.m_all,
+      m_options.m_move_ms);
+  const std::int64_t capacity = std::max(
+      pool.m_capacity_milli + pool.m_moving_milli + pool.m_available_milli,
+      std::int64_t{1});
   Instant& last = m_last_return[queue.pool];
   const Instant next =
       std::max(last, now + Millis(drain_ms)) +
-      Millis(std::min(WorkOf(job.m_spec) / capacity, kMaxDrainMs));
+      Millis(std::min(WorkOf(job.m_spec).m_all / capacity, kMaxDrainMs));
   const std::int64_t after_ms = std::clamp(
       std::chrono::duration_cast<Millis>(next - now).count(),
       m_options.m_min_retry_after_ms, m_options.m_max_retry_after_ms);
@@ -155,6 +178,9 @@
   }
   Forget(now);
   const auto first_rejected = m_first_rejected.find(job.m_id);
+  if (first_rejected == m_first_rejected.end()) {
+    m_typical.Record(job);
+  }
   if (first_rejected != m_first_rejected.end()) {
     decision.m_age_ms =
         std::chrono::duration_cast<Millis>(now - first_rejected->second)
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -7,6 +7,9 @@
 namespace bronzebarrow::placement {
 namespace {
 
+// Weight of the newest estimate in the mean of its queue.
+constexpr double kNewestShare = 0.02;
+
 ObjectiveStatus ObjectiveStatusOf(std::int64_t age, std::int64_t remaining,
                                   std::int64_t objective) {
   if (age + remaining <= objective) {
@@ -18,13 +21,13 @@
 }
 
 RankedJob AssessJob(const jobs::Job& job, const wire::QueueSpecT& queue,
-                    std::uint64_t now_ms) {
+                    std::uint64_t now_ms, const TypicalSteps& typical) {
   RankedJob entry = {&job, &queue, ObjectiveStatus::kLongRunning, 0};
   if (job.IsLongRunning()) {
     return entry;
   }
   const std::int64_t objective =
-      ObjectiveMs(queue, job.CriticalPathMs(nullptr));
+      ObjectiveMs(queue, typical.CriticalPathMs(job));
   for (const auto& [k, occurrence] : job.m_occurrences) {
     const std::int64_t age =
         static_cast<std::int64_t>(now_ms - std::min(now_ms, job.DueMs(k)));
@@ -41,7 +44,8 @@
 
 // The status of each startable job, in the order of acceptance.
 std::vector<RankedJob> AssessJobs(const jobs::WorkState& state,
-                                  std::uint64_t now_ms) {
+                                  std::uint64_t now_ms,
+                                  const TypicalSteps& typical) {
   std::vector<RankedJob> ranked;
   ranked.reserve(state.startable().size());
   for (const auto& [number, startable] : state.startable()) {
@@ -51,23 +55,23 @@
       // The queue was removed from the configuration: its pool is unknown.
       continue;
     }
-    ranked.push_back(AssessJob(job, *queue, now_ms));
+    ranked.push_back(AssessJob(job, *queue, now_ms, typical));
   }
   return ranked;
 }
 
-// Estimated work of the waiting tasks, of ready steps and later ones.
-std::int64_t WaitingWork(const jobs::Job& job) {
-  std::int64_t work = 0;
+// Adds the estimated work of the job's waiting tasks.
+void AddWork(const jobs::Job& job, Work& work) {
   for (const auto& [number, occurrence] : job.m_occurrences) {
     for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
       const wire::StepSpecT& spec = *job.m_spec.steps[step];
-      work += occurrence.m_steps[step].m_waiting *
-              jobs::ResourcesOf(spec).m_cpu_milli *
-              std::int64_t{spec.estimate_ms};
+      const std::int64_t step_work = occurrence.m_steps[step].m_waiting *
+                                     jobs::ResourcesOf(spec).m_cpu_milli *
+                                     std::int64_t{spec.estimate_ms};
+      work.m_all += step_work;
+      work.m_startable += job.IsStepReady(occurrence, step) ? step_work : 0;
     }
   }
-  return work;
 }
 
 std::int64_t AssignedMilli(const jobs::Job& job) {
@@ -83,6 +87,35 @@
 
 }  // namespace
 
+void TypicalSteps::Record(const jobs::Job& job) {
+  for (const auto& step : job.m_spec.steps) {
+    const auto ms = static_cast<double>(step->estimate_ms);
+    const auto [mean, is_new] = m_step_ms.emplace(job.m_queue, ms);
+    if (!is_new) {
+      mean->second += kNewestShare * (ms - mean->second);
+    }
+  }
+}
+
+std::int64_t TypicalSteps::CriticalPathMs(const jobs::Job& job) const {
+  const std::int64_t declared_ms = job.CriticalPathMs(nullptr);
+  const auto typical = m_step_ms.find(job.m_queue);
+  if (typical == m_step_ms.end()) {
+    return declared_ms;
+  }
+  std::vector<std::size_t> chain(job.m_spec.steps.size(), 1);
+  std::size_t longest = 0;
+  for (std::size_t i = 0; i < chain.size(); ++i) {
+    for (const std::uint32_t dependency : job.m_spec.steps[i]->depends_on) {
+      chain[i] = std::max(chain[i], chain[dependency] + 1);
+    }
+    longest = std::max(longest, chain[i]);
+  }
+  const auto typical_ms =
+      static_cast<std::int64_t>(typical->second * static_cast<double>(longest));
+  return (declared_ms + 2 * typical_ms) / 3;
+}
+
 std::int64_t ObjectiveMs(const wire::QueueSpecT& queue,
                          std::int64_t critical_path_ms) {
   return static_cast<std::int64_t>(queue.slack_factor *
@@ -91,8 +124,9 @@
 }
 
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
-                                std::uint64_t now_ms) {
-  std::vector<RankedJob> ranked = AssessJobs(state, now_ms);
+                                std::uint64_t now_ms,
+                                const TypicalSteps& typical) {
+  std::vector<RankedJob> ranked = AssessJobs(state, now_ms, typical);
   std::stable_sort(
       ranked.begin(), ranked.end(), [](const RankedJob& a, const RankedJob& b) {
         return std::tuple(a.m_status, a.m_queue->priority,
@@ -103,18 +137,19 @@
 }
 
 std::map<std::string, PoolDemand> DemandByPool(const jobs::WorkState& state,
-                                               std::uint64_t now_ms) {
+                                               std::uint64_t now_ms,
+                                               const TypicalSteps& typical) {
   std::map<std::string, PoolDemand> demands;
-  for (const RankedJob& ranked : AssessJobs(state, now_ms)) {
+  for (const RankedJob& ranked : AssessJobs(state, now_ms, typical)) {
     if (ranked.m_status == ObjectiveStatus::kExpired) {
       continue;
     }
     const jobs::Job& job = *ranked.m_job;
     PoolDemand& demand = demands[ranked.m_queue->pool];
     if (ranked.m_status == ObjectiveStatus::kOnTime) {
-      demand.m_waiting_work[ranked.m_queue->priority] += WaitingWork(job);
+      AddWork(job, demand.m_waiting_work[ranked.m_queue->priority]);
     } else if (ranked.m_status == ObjectiveStatus::kLate) {
-      demand.m_late_work += WaitingWork(job);
+      AddWork(job, demand.m_late_work);
     }
     std::int64_t& ready_milli = ranked.m_status == ObjectiveStatus::kLate
                                     ? demand.m_late_milli
@@ -141,8 +176,8 @@
     const std::int64_t used = AssignedMilli(job);
     const wire::QueueSpecT* const queue =
         used == 0 ? nullptr : state.queues().Find(job.m_queue);
-    if (queue != nullptr &&
-        AssessJob(job, *queue, now_ms).m_status >= ObjectiveStatus::kLate) {
+    if (queue != nullptr && AssessJob(job, *queue, now_ms, typical).m_status >=
+                                ObjectiveStatus::kLate) {
       demands[queue->pool].m_late_used_milli += used;
     }
   }
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -333,7 +333,7 @@
 
 std::vector<Placement> PlanAssignments(const PlanInput& input) {
   const std::vector<RankedJob> ranking =
-      RankJobs(input.m_state, input.m_now_ms);
+      RankJobs(input.m_state, input.m_now_ms, input.m_typical);
   if (ranking.empty()) {
     return {};
   }
--- a/tests/machine_planner_test.cc
+++ b/tests/machine_planner_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(EarlierOpenPlanDelaysADrain);
   CPPUNIT_TEST(RequestsStayWithinThePlatformRate);
   CPPUNIT_TEST(LowPlatformRateStillPermitsRequests);
+  CPPUNIT_TEST(MachinesOfRunnersBeingFencedCount);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -155,6 +156,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RequestsWithin(Millis(2000)).size());
   }
 
+  // Guards against a new owner that takes every pool for empty until it has
+  // reached the runners: it would move machines, and turn jobs away.
+  void MachinesOfRunnersBeingFencedCount() {
+    MachineOptions options;
+    options.m_holder = "holder";
+    options.m_balance.m_min_machines = 1;
+    m_planner =
+        std::make_unique<MachinePlanner>(*m_state, *m_dispatcher, options);
+    m_dispatcher->BecomeLeader(m_state->epoch(), m_now);
+    m_planner->BecomeLeader(m_state->epoch(), m_now);
+    DeliverListing(fleet::MachineState::kUp);
+    m_planner->Tick({m_now, kNowMs}, {1, 1});
+    const auto outlook = m_planner->TakeOutlook();
+    CPPUNIT_ASSERT(outlook);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000},
+                         outlook->at("pool").m_capacity_milli);
+    CPPUNIT_ASSERT(m_planner->TakeRequests().empty());
+    m_now += Millis(2500);  // It does not answer: the pool is short.
+    m_planner->Tick({m_now, kNowMs}, {1, 1});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
+                         m_planner->TakeOutlook()->at("pool").m_capacity_milli);
+  }
+
  private:
   void StartWave(const std::string& machine) {
     wire::StartUpkeepT wave;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(PoolShortOfCapacityTakesIdleThenParkedThenBusyMachines);
   CPPUNIT_TEST(DemandPeakGetsMachinesAheadOfItsGrowth);
   CPPUNIT_TEST(IdleMachinesMoveToThePoolOfTheNextDemandPeak);
+  CPPUNIT_TEST(LateJobsKeepNoMachinesFromAnotherPeak);
+  CPPUNIT_TEST(ShortPoolsShareMachinesByNeed);
   CPPUNIT_TEST(PoolWithoutBacklogParksOnlyIdleMachines);
   CPPUNIT_TEST(PoolsShortOfCapacityKeepTheirMachines);
   CPPUNIT_TEST_SUITE_END();
@@ -264,6 +266,37 @@
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{4}, count(moves, "rest"));
   }
 
+  // Load pattern: the peak of one queue begins while the pool of the last peak
+  // still works off jobs that are late.
+  void LateJobsKeepNoMachinesFromAnotherPeak() {
+    PoolLoad late = MakeLoad("late", 4, 4 * kMachineMilli, 0);
+    late.m_late_used_milli = 4 * kMachineMilli;
+    late.m_late_milli = 9 * kMachineMilli;
+    late.m_movable = {{"a", kMachineMilli}, {"b", kMachineMilli}};
+    const PoolLoad at_peak =
+        MakeLoad("peak", 2, 2 * kMachineMilli, 3 * kMachineMilli);
+    const auto moves = RebalancePools({late, at_peak}, BalanceOptions());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, moves.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("peak"), moves[0].m_to);
+  }
+
+  // Load pattern: one peak goes over into the next, and neither pool has
+  // enough; the demand of rejected jobs counts.
+  void ShortPoolsShareMachinesByNeed() {
+    PoolLoad first = MakeLoad("first", 8, 8 * kMachineMilli, 1 * kMachineMilli);
+    for (int i = 0; i < 8; ++i) {
+      first.m_movable.push_back({"f" + std::to_string(i), kMachineMilli});
+    }
+    PoolLoad second = MakeLoad("second", 2, 2 * kMachineMilli, 0);
+    second.m_rejected_milli = 4 * kMachineMilli;
+    const auto moves = RebalancePools({first, second}, BalanceOptions());
+    CPPUNIT_ASSERT(!moves.empty());
+    for (const PoolMove& move : moves) {
+      CPPUNIT_ASSERT_EQUAL(std::string("second"), move.m_to);
+    }
+    CPPUNIT_ASSERT(moves.size() <= 4);
+  }
+
   void PoolWithoutBacklogParksOnlyIdleMachines() {
     PoolLoad a = MakeLoad("a", 6, 4'000, 0);
     a.m_movable = {{"busy", 4'000}, {"idle", 0}};
