Log the voters, learners and quorum of a member's group

role_changed tells neither who votes nor how many votes are needed, so a group with too many lost voters could not be told from one whose votes are refused. membership_changed lists both lists with the generation of each member's data, and the quorum.

--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -162,6 +162,7 @@
 
   void ProcessUpdates();
   void HandleRoleChange();
+  void LogMembershipChange();
   void HandOffIfDiskStalled();
   void ApplyCommitted();
   void ApplyEntry(const wire::LogEntryT& entry);
@@ -188,6 +189,7 @@
   std::uint64_t m_last_compacted = 0;
   std::uint64_t m_last_term = 0;
   consensus::Role m_last_role = consensus::Role::kLearner;
+  consensus::Membership m_logged_membership;
 
   // Used by the leader only; reset when the leadership ends.
   std::optional<std::uint64_t> m_ownership_token;
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -230,6 +230,7 @@
 
 void WorkCore::ProcessUpdates() {
   HandleRoleChange();
+  LogMembershipChange();
   ApplyCommitted();
   TakeDispatcherCommands();
   PlanAssignments();
@@ -268,6 +269,27 @@
   }
 }
 
+void WorkCore::LogMembershipChange() {
+  const consensus::Membership& membership = m_replica.membership();
+  if (membership == m_logged_membership) {
+    return;
+  }
+  m_logged_membership = membership;
+  std::string voters;
+  std::string learners;
+  for (const consensus::Member& member : membership.members()) {
+    std::string& list = member.m_voter ? voters : learners;
+    list += (list.empty() ? "" : ",") + member.m_id.m_name + '/' +
+            std::to_string(member.m_id.m_generation);
+  }
+  EventLine(Event::kMembershipChanged)
+      .Field("role", NameOf(m_replica.role()))
+      .Field("term", m_replica.term())
+      .Field("quorum", membership.Quorum())
+      .Field("voters", voters)
+      .Field("learners", learners);
+}
+
 void WorkCore::ClearLeaderState() {
   for (const auto& [token, waiting] : m_pending_calls) {
     for (const PendingCall& call : waiting) {
