--- a/tests/fake_group.cc
+++ b/tests/fake_group.cc
@@ -25,6 +25,13 @@
   return state;
 }
 
+// Few entries a message, so that catching up takes several.
+ReplicaOptions SmallAppends() {
+  ReplicaOptions options;
+  options.m_max_append_entries = 8;
+  return options;
+}
+
 }  // namespace
 
 void FakeDisk::Sync(const DurableBatchOut& out) {
@@ -46,25 +53,31 @@
   }
 }
 
-FakeGroup::FakeGroup(std::size_t size, std::uint64_t seed) : m_random(seed) {
+FakeGroup::FakeGroup(std::size_t size, std::uint64_t seed)
+    : FakeGroup(size, 0, seed, SmallAppends()) {}
+
+FakeGroup::FakeGroup(std::size_t size, std::size_t spares, std::uint64_t seed,
+                     const ReplicaOptions& options)
+    : m_options(options), m_random(seed) {
   std::vector<Member> initial_members;
   for (std::size_t i = 0; i < size; ++i) {
     initial_members.push_back({{"n" + std::to_string(i), 1}, true});
   }
-  m_nodes.resize(size);
-  for (std::size_t i = 0; i < size; ++i) {
+  m_nodes.resize(size + spares);
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
     m_nodes[i].m_name = "n" + std::to_string(i);
     m_nodes[i].m_id = {m_nodes[i].m_name, 1};
+  }
+  for (std::size_t i = 0; i < size; ++i) {
     m_nodes[i].m_disk.m_state.m_base_membership = Membership(initial_members);
     Start(m_nodes[i]);
   }
 }
 
 void FakeGroup::Start(Node& node) {
-  ReplicaOptions options;
+  ReplicaOptions options = m_options;
   options.m_id = node.m_id;
   options.m_seed = m_random();
-  options.m_max_append_entries = 8;
   for (const Node& other : m_nodes) {
     if (other.m_name != node.m_name) {
       options.m_peers.push_back(other.m_name);
--- a/tests/fake_group.h
+++ b/tests/fake_group.h
@@ -41,6 +41,13 @@
 class FakeGroup {
  public:
   FakeGroup(std::size_t size, std::uint64_t seed);
+  /**
+   * @param spares nodes beyond the initial members; they start with an empty
+   * disk at their first Restart
+   * @param options of every replica, except identity, peers and seed
+   */
+  FakeGroup(std::size_t size, std::size_t spares, std::uint64_t seed,
+            const ReplicaOptions& options);
 
   /** Advances virtual time by `span`: delivers messages, completes syncs. */
   void Run(Duration span);
@@ -90,6 +97,10 @@
   std::mt19937_64& random() { return m_random; }
   /** @return the last violated invariant; empty when none was violated. */
   const std::string& violation() const { return m_violation; }
+  /** @return the highest index that any node has applied. */
+  std::uint64_t highest_applied() const {
+    return m_hash_by_index.empty() ? 0 : m_hash_by_index.rbegin()->first;
+  }
 
  private:
   struct Node {
@@ -118,6 +129,7 @@
   bool Chance(double probability);
   Duration RandomDuration(Duration limit);
 
+  ReplicaOptions m_options;
   std::mt19937_64 m_random;
   FakeFaults m_faults;
   Instant m_now;
