Remove members that are gone before they cost the group its quorum

Callers saw accepted jobs unknown, lasting tasks not running and the acknowledged configuration gone, all after a member had been replaced by an empty machine and others failed within the tolerated number.

Cause: a member that is taken away for good stayed a voter until it had been silent for 5 s and another voter had been added. In between the group had six voters with a quorum of four, one of them dead, so that two more losses left three of six: no election can succeed again. Each new leader began the 5 s anew. Members count as lost for a shorter time than that.

A voter now counts as unresponsive after the time by which the leader already judges its quorum (two election timeouts). With more voters than needed it is removed then; with just as many, a caught-up learner takes its place: the voter is removed first and the learner promoted after, so the quorum never rises while a voter is missing. A voter is given up only if the quorum stays at f + 1 or as large as it is. A member that was merely away rejoins as a learner with its data.

--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -34,11 +34,12 @@
   std::size_t m_max_append_entries = 512;
   std::size_t m_max_append_bytes = 1 << 20;
   std::uint64_t m_seed = 1;
-  /** The leader removes a member unresponsive for this long; zero: never. */
-  Duration m_remove_unresponsive_after = Millis(0);
+  /** Whether the leader removes members that have become unresponsive. */
+  bool m_removes_unresponsive = false;
   /**
-   * An unresponsive voter is removed only while the group has more voters than
-   * this: 2 f + 1 to tolerate f failures.
+   * Voters that the group needs: 2 f + 1 to tolerate f failures. An
+   * unresponsive voter is removed only while there are more, or when a learner
+   * is ready to take its place.
    */
   std::size_t m_min_voters = 3;
 };
@@ -194,7 +195,10 @@
   void AdvanceConfirmedRound();
   void ProposeMembership(const Membership& membership);
   bool IsMembershipCommitted() const;
-  void PromoteCaughtUpLearner();
+  void PromoteCaughtUpLearner(Instant now);
+  bool IsResponsive(const Progress& progress, Instant now) const;
+  const Member* FindUnresponsiveVoter(Instant now) const;
+  bool MayRemoveVoter() const;
 
   bool IsLogUpToDate(std::uint64_t other_last_index,
                      std::uint64_t other_last_term) const;
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -213,9 +213,8 @@
 void Replica::CheckQuorumContact(Instant now) {
   std::size_t responsive_voters = 1;
   for (const auto& [peer, progress] : m_progress) {
-    const bool recent =
-        now < progress.m_last_reply_at + 2 * m_options.m_election_timeout;
-    responsive_voters += recent && membership().IsVoter(peer) ? 1 : 0;
+    responsive_voters +=
+        IsResponsive(progress, now) && membership().IsVoter(peer) ? 1 : 0;
   }
   if (responsive_voters < membership().Quorum()) {
     m_role.Process(RoleEvent::kSteppedDown);
--- a/src/consensus/replica_membership.cc
+++ b/src/consensus/replica_membership.cc
@@ -32,20 +32,40 @@
   m_options.m_peers = std::move(peers);
 }
 
-// An unresponsive voter is removed only while the group has more than
-// m_min_voters voters, so that it still tolerates the planned number of
-// failures. An unresponsive learner is always removed: it only costs messages.
+bool Replica::IsResponsive(const Progress& progress, Instant now) const {
+  return now < progress.m_last_reply_at + 2 * m_options.m_election_timeout;
+}
+
+const Member* Replica::FindUnresponsiveVoter(Instant now) const {
+  for (const Member& member : membership().members()) {
+    const auto progress = m_progress.find(member.m_id);
+    if (member.m_voter && progress != m_progress.end() &&
+        !IsResponsive(progress->second, now)) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+// With one voter less, the quorum must stay as large as f + 1, so that f lost
+// disks never hold all copies of an entry, or as large as it is.
+bool Replica::MayRemoveVoter() const {
+  const std::size_t voters = membership().VoterCount();
+  return voters > m_options.m_min_voters || voters % 2 == 1;
+}
+
+// A voter that does not reply still counts for the quorum, so it is removed
+// before further members can fail. It rejoins as a learner if it returns. An
+// unresponsive learner only costs messages and is always removed.
 void Replica::RemoveUnresponsiveMember(Instant now) {
-  if (m_options.m_remove_unresponsive_after == Duration::zero() ||
-      !IsReadyLeader() || !IsMembershipCommitted()) {
+  if (!m_options.m_removes_unresponsive || !IsReadyLeader() ||
+      !IsMembershipCommitted()) {
     return;
   }
   for (const auto& [peer, progress] : m_progress) {
-    const bool unresponsive =
-        now > progress.m_last_reply_at + m_options.m_remove_unresponsive_after;
-    const bool voter = membership().IsVoter(peer);
-    if (unresponsive &&
-        (!voter || membership().VoterCount() > m_options.m_min_voters)) {
+    if (!IsResponsive(progress, now) &&
+        (!membership().IsVoter(peer) ||
+         membership().VoterCount() > m_options.m_min_voters)) {
       ProposeMembership(membership().Without(peer.m_name));
       return;
     }
@@ -61,17 +81,26 @@
   return m_memberships.back().first <= m_commit_index;
 }
 
-void Replica::PromoteCaughtUpLearner() {
+// A learner takes the place of an unresponsive voter: the voter is removed
+// first, because one voter more would raise the quorum while one is missing.
+void Replica::PromoteCaughtUpLearner(Instant now) {
   if (!IsReadyLeader() || !IsMembershipCommitted()) {
     return;
   }
   for (const Member& member : membership().members()) {
     const auto progress = m_progress.find(member.m_id);
-    if (!member.m_voter && progress != m_progress.end() &&
-        progress->second.m_match_index >= m_commit_index) {
-      ProposeMembership(membership().WithVoter(member.m_id));
-      return;
+    if (member.m_voter || progress == m_progress.end() ||
+        progress->second.m_match_index < m_commit_index) {
+      continue;
     }
+    const Member* const unresponsive =
+        m_options.m_removes_unresponsive && MayRemoveVoter()
+            ? FindUnresponsiveVoter(now)
+            : nullptr;
+    ProposeMembership(unresponsive != nullptr
+                          ? membership().Without(unresponsive->m_id.m_name)
+                          : membership().WithVoter(member.m_id));
+    return;
   }
 }
 
--- a/src/consensus/replica_replication.cc
+++ b/src/consensus/replica_replication.cc
@@ -205,7 +205,7 @@
   progress.m_next_index =
       std::max(progress.m_next_index, progress.m_match_index + 1);
   AdvanceCommit();
-  PromoteCaughtUpLearner();
+  PromoteCaughtUpLearner(now);
   if (role() != Role::kLeader) {
     return;
   }
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -55,7 +55,7 @@
   options.m_replica.m_election_timeout = settings.m_election_timeout;
   options.m_replica.m_heartbeat_interval = settings.m_heartbeat;
   options.m_replica.m_seed = random();
-  options.m_replica.m_remove_unresponsive_after = Millis(5000);
+  options.m_replica.m_removes_unresponsive = true;
   options.m_replica.m_min_voters = 2 * settings.m_tolerated_losses + 1;
   options.m_machines = settings.m_machines;
   options.m_first_token = static_cast<std::uint64_t>(random()) << 32;
--- a/tests/group_replacement_test.cc
+++ b/tests/group_replacement_test.cc
@@ -105,7 +105,7 @@
     ReplicaOptions options;
     options.m_election_timeout = Millis(600);
     options.m_heartbeat_interval = Millis(100);
-    options.m_remove_unresponsive_after = Millis(5000);
+    options.m_removes_unresponsive = true;
     options.m_min_voters = 2 * kToleratedLosses + 1;
     return options;
   }
