Remove silent members also while the leadership is being confirmed

Cause: the leader looked for silent members only when a heartbeat was due. A leader that grants leases confirms its leadership every 25 ms; each confirmation starts a round and puts off the heartbeat, so the branch ran only if a round took longer than 100 ms. A member that was gone stayed a voter for as long as the leader was healthy: sur-2, gone at 3.0 s, still voted at 10 s and made the quorum four of six.

The check now runs at every tick of the leader. The test's leaders confirm their leadership as production does.

LeaderThatConfirmsItsLeadershipRemovesMemberThatIsGone and GroupKeepsItsQuorumWhileMembersAreReplaced fail without the change.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -51,9 +51,11 @@
   switch (role()) {
     case Role::kLeader:
       CheckQuorumContact(now);
-      if (role() == Role::kLeader && now >= m_next_heartbeat) {
-        StartRound(now);
+      if (role() == Role::kLeader) {
         RemoveUnresponsiveMember(now);
+        if (now >= m_next_heartbeat) {
+          StartRound(now);
+        }
       }
       break;
     case Role::kFollower:
--- a/tests/group_replacement_test.cc
+++ b/tests/group_replacement_test.cc
@@ -24,6 +24,8 @@
 // Time after the last failure within which the group must work again.
 constexpr Duration kRecoveryTime = Millis(12'000);
 constexpr Duration kProposalInterval = Millis(50);
+// A leader that grants leases confirms its leadership all the time.
+constexpr Duration kConfirmationInterval = Millis(25);
 
 /** A group, and the failures that it must tolerate at this moment. */
 class FailingGroup {
@@ -49,7 +51,11 @@
     const Instant end = m_group.now() + span;
     while (m_group.now() < end) {
       m_group.ProposeAtEveryNode();
-      m_group.Run(kProposalInterval);
+      for (Instant tick = m_group.now();
+           m_group.now() < tick + kProposalInterval;) {
+        ConfirmLeadership();
+        m_group.Run(kConfirmationInterval);
+      }
       for (Place& place : m_places) {
         if (place.m_starts_at && m_group.now() >= *place.m_starts_at) {
           m_group.Restart(place.m_node);
@@ -120,6 +126,14 @@
     return options;
   }
 
+  void ConfirmLeadership() {
+    for (std::size_t i = 0; i < m_group.size(); ++i) {
+      if (Replica* const replica = m_group.node(i)) {
+        replica->RequestLeadershipConfirmation();
+      }
+    }
+  }
+
   std::size_t LostCount() const {
     return static_cast<std::size_t>(std::count_if(
         m_places.begin(), m_places.end(), [&](const Place& place) {
@@ -149,6 +163,7 @@
 class GroupReplacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GroupReplacementTest);
   CPPUNIT_TEST(GroupKeepsItsQuorumWhileMembersAreReplaced);
+  CPPUNIT_TEST(LeaderThatConfirmsItsLeadershipRemovesMemberThatIsGone);
   CPPUNIT_TEST(LostMembersVoteAgainWithinTheirCatchUpTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -157,6 +172,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), FailedSeeds(&KeepsQuorum));
   }
 
+  // An extra member joins and one of the initial ones is gone for good.
+  void LeaderThatConfirmsItsLeadershipRemovesMemberThatIsGone() {
+    FailingGroup failing(1);
+    FakeGroup& group = failing.group();
+    failing.Run(Millis(3000));
+    group.Restart(kMembers);
+    failing.Run(kCatchUpTime);
+    const std::size_t gone = (group.ReadyLeader().value() + 1) % kMembers;
+    const std::string name = group.node(gone)->id().m_name;
+    group.Crash(gone);
+    failing.Run(kCatchUpTime);
+    const Membership& membership =
+        group.node(group.ReadyLeader().value())->membership();
+    CPPUNIT_ASSERT(!membership.FindByName(name));
+    CPPUNIT_ASSERT_EQUAL(kMembers, membership.VoterCount());
+  }
+
   void LostMembersVoteAgainWithinTheirCatchUpTime() {
     CPPUNIT_ASSERT_EQUAL(std::string(), FailedSeeds(&VotesAgainInTime));
   }
