Let a learner whose admission was never committed ask again

A member with a new disk would stay outside the group for good, so that the group has one voter less than it counts on: the condition under which the next two losses cost the quorum and with it accepted work.

Cause: a learner stops asking to join once its log lists it as a member. That entry may be lost with the leader that sent it. The next leader does not know the learner, never contacts it, and the learner asks no more.

A learner without contact to a leader for two election timeouts now asks again.

--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -179,6 +179,7 @@
   void ResetElectionDeadline(Instant now);
   void OnTransferLead(const ReplicaId& from, std::uint64_t term, Instant now);
   void RemoveUnresponsiveMember(Instant now);
+  bool IsOutsideGroup(Instant now) const;
   void SendJoinRequests();
   void BroadcastVoteRequest(std::uint64_t term, bool pre_vote, bool transfer);
 
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -68,13 +68,21 @@
     case Role::kLearner:
       break;
   }
-  if (!membership().Contains(id()) && now >= m_next_join) {
+  if (IsOutsideGroup(now) && now >= m_next_join) {
     m_next_join =
         now + kHeartbeatsPerJoinRequest * m_options.m_heartbeat_interval;
     SendJoinRequests();
   }
 }
 
+// A learner that no leader contacts may have been added by an entry that was
+// never committed.
+bool Replica::IsOutsideGroup(Instant now) const {
+  return !membership().Contains(id()) ||
+         (role() == Role::kLearner &&
+          now > m_last_leader_contact + 2 * m_options.m_election_timeout);
+}
+
 void Replica::Receive(const ReplicaId& from, const wire::BodyUnion& body,
                       Instant now) {
   switch (body.type) {
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -8,7 +8,7 @@
 namespace bronzebarrow::consensus {
 namespace {
 
-constexpr std::uint64_t kSeeds = 2000;
+constexpr std::uint64_t kSeeds = 4000;
 
 class ReplicaTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReplicaTest);
