Admit a new generation whatever its number

Cause: the leader admitted a new generation of a member only if its number was higher. The number is the wall clock at the start of the empty folder, so after a clock that stepped back the member was refused for good.

A request is now ignored only if the generation that is a member has replied within two heartbeats: then an earlier one sent it.

The tests' groups draw generations at random.

--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -166,7 +166,7 @@
                      Instant now);
   void OnSnapshotRequest(const ReplicaId& from,
                          const wire::SnapshotRequestT& request, Instant now);
-  void OnJoinRequest(const ReplicaId& from);
+  void OnJoinRequest(const ReplicaId& from, Instant now);
 
   void AdoptTerm(std::uint64_t term, Instant now);
   void FollowLeader(const ReplicaId& leader, Instant now);
@@ -201,6 +201,7 @@
   const Member* FindUnresponsiveVoter(Instant now) const;
   bool MayRemoveVoter() const;
   bool HasLearner() const;
+  bool HasJustReplied(const ReplicaId& peer, Instant now) const;
 
   bool IsLogUpToDate(std::uint64_t other_last_index,
                      std::uint64_t other_last_term) const;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -105,7 +105,7 @@
       OnTransferLead(from, body.AsTransferLead()->term, now);
       break;
     case wire::Body::JoinRequest:
-      OnJoinRequest(from);
+      OnJoinRequest(from, now);
       break;
     default:
       break;
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -129,7 +129,7 @@
     // A replica that was removed while it was unreachable still requests votes,
     // because it does not have the log entry that removed it. Its request is
     // handled as a join request.
-    OnJoinRequest(from);
+    OnJoinRequest(from, now);
     return;
   }
   if (leader_is_active && request.term > m_term && !request.transfer) {
--- a/src/consensus/replica_membership.cc
+++ b/src/consensus/replica_membership.cc
@@ -20,14 +20,14 @@
 // A member that has lost its disk rejoins as a new generation. Its learner
 // takes the place of the voter in one change; the voter is lost in any case.
 // The learner before it is promoted first if the quorum would become too small.
-void Replica::OnJoinRequest(const ReplicaId& from) {
+void Replica::OnJoinRequest(const ReplicaId& from, Instant now) {
   if (!IsReadyLeader() || !IsMembershipCommitted() ||
       membership().Contains(from)) {
     return;
   }
   const auto same_name = membership().FindByName(from.m_name);
-  if (same_name && same_name->m_id.m_generation > from.m_generation) {
-    return;
+  if (same_name && HasJustReplied(same_name->m_id, now)) {
+    return;  // The request was sent by an earlier generation.
   }
   const bool removes_voter = same_name && same_name->m_voter;
   if (removes_voter && !MayRemoveVoter() && HasLearner()) {
@@ -62,6 +62,13 @@
   return voters > m_options.m_min_voters || voters % 2 == 1;
 }
 
+bool Replica::HasJustReplied(const ReplicaId& peer, Instant now) const {
+  const auto progress = m_progress.find(peer);
+  return progress != m_progress.end() &&
+         now < progress->second.m_last_reply_at +
+                   2 * m_options.m_heartbeat_interval;
+}
+
 bool Replica::HasLearner() const {
   const std::vector<Member>& members = membership().members();
   return std::any_of(members.begin(), members.end(),
--- a/tests/fake_group.cc
+++ b/tests/fake_group.cc
@@ -1,12 +1,14 @@
 // FakeGroup: event loop, network, disks and checks of the invariants.
 #include "fake_group.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace bronzebarrow::consensus {
 namespace {
 
 constexpr Duration kTickInterval = Millis(1);
+constexpr std::uint64_t kFirstNewGeneration = 2;
 
 std::uint64_t MixHash(std::uint64_t hash, std::uint64_t value) {
   hash ^= value + 0x9e3779b97f4a7c15ULL + (hash << 6) + (hash >> 2);
@@ -102,7 +104,8 @@
 void FakeGroup::LoseDisk(std::size_t node) {
   Crash(node);
   m_nodes[node].m_disk = FakeDisk();
-  m_nodes[node].m_id.m_generation = m_next_generation++;
+  // Generations have no order: a clock that steps back must not matter.
+  m_nodes[node].m_id.m_generation = std::max(kFirstNewGeneration, m_random());
 }
 
 void FakeGroup::SetSuspended(std::size_t node, bool suspended) {
--- a/tests/fake_group.h
+++ b/tests/fake_group.h
@@ -141,7 +141,6 @@
   std::map<std::uint64_t, ReplicaId> m_leader_by_term;
   // Chained hash by committed index, equal on every node.
   std::map<std::uint64_t, std::uint64_t> m_hash_by_index;
-  std::uint64_t m_next_generation = 2;
   std::uint64_t m_next_payload = 1;
   std::string m_violation;
 };
