--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -136,6 +136,12 @@
   }
 }
 
+std::uint64_t TermAt(const DurableState& state, std::uint64_t index) {
+  return index == state.m_base_index
+             ? state.m_base_term
+             : state.m_entries[index - state.m_base_index - 1].term;
+}
+
 bool IsConsecutive(const DurableState& state) {
   std::uint64_t expected = state.m_base_index;
   return std::all_of(
@@ -249,6 +255,11 @@
     if (!snapshot || !snapshot->membership) {
       return Fail(ErrorCode::kLogDamaged, path);
     }
+    // A snapshot is written before the log that starts from it. Until that log
+    // is durable, the old one may hold another leader's entry at this index.
+    if (snapshot->last_term != TermAt(state, index)) {
+      continue;
+    }
     state.m_snapshot = std::move(snapshot);
     return {};
   }
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(StoresBatchOnceAFullDiskHasSpace);
   CPPUNIT_TEST(StoresSnapshotOnceAFullDiskHasSpace);
   CPPUNIT_TEST(OpensWithoutWritingToAFullDisk);
+  CPPUNIT_TEST(IgnoresSnapshotThatContradictsTheLog);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -204,6 +205,30 @@
                          store->recovered().m_id.m_generation);
   }
 
+  // Guards against a restart, between the snapshot and the log of a batch, that
+  // treats entries of another leader as committed.
+  void IgnoresSnapshotThatContradictsTheLog() {
+    InitializeFolder();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 6);
+      DurableBatchOut batch = SnapshotBatch();
+      auto of_later_term =
+          std::make_shared<wire::SnapshotFileT>(*batch.m_snapshot);
+      of_later_term->last_term = 8;
+      batch.m_snapshot = of_later_term;
+      const std::string log = LogPath();
+      std::filesystem::copy_file(log, Folder() + "/kept");
+      CPPUNIT_ASSERT(store->Write(batch));
+      std::filesystem::remove(LogPath());
+      std::filesystem::rename(Folder() + "/kept", log);
+    }
+    const StorePtr store = Open();
+    const DurableState& state = store->recovered().m_state;
+    CPPUNIT_ASSERT(state.m_snapshot == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, state.m_entries.size());
+  }
+
  private:
   /** Lets files grow to `bytes` only, like a disk without space. */
   class FullDisk {
