Draw a generation at random instead of from the wall clock

The generation of an empty data folder was the wall clock's milliseconds. After a step back of the clock, or two losses in one millisecond, a later generation was equal to or smaller than the one before. Callers would see a member that is never admitted again (the leader refuses a smaller generation), or, with an equal one, a voter that contradicts a vote whose record was lost.

Ruled out: a counter on the disk, which is lost with it; the boot clock, which starts again with the machine.

Evidence: GenerationsNeverRepeat, with a stopped wall clock, failed before with "Expected: 52, Actual: 3" (50 losses, all with one generation).

64 random bits do not repeat in practice and depend on no clock.

--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -9,10 +9,10 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
+#include <random>
 #include <utility>
 #include <vector>
 
-#include "bronzebarrow/base/time.h"
 #include "bronzebarrow/wire/codec.h"
 #include "consensus/file.h"
 #include "consensus/record.h"
@@ -77,6 +77,14 @@
   return file;
 }
 
+// A generation must never repeat, or a member could contradict a vote whose
+// record was lost. A clock could be stepped back between two generations.
+std::uint64_t NewGeneration() {
+  std::random_device random;
+  std::uniform_int_distribution<std::uint64_t> pick(kInitialGeneration + 1);
+  return pick(random);
+}
+
 Result<void> WriteIdentity(const std::string& folder, const ReplicaId& id) {
   wire::MemberT identity;
   identity.name = id.m_name;
@@ -171,7 +179,7 @@
   store->m_lock_file = lock;
   if (IsEmptyFolder(folder)) {
     BOOST_LEAF_CHECK(WriteInitialLog(folder, Membership()));
-    BOOST_LEAF_CHECK(WriteIdentity(folder, {name, WallMillis()}));
+    BOOST_LEAF_CHECK(WriteIdentity(folder, {name, NewGeneration()}));
     store->m_recovered.m_is_new = true;
   }
   BOOST_LEAF_CHECK(store->Recover(name));
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -3,13 +3,33 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/resource.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include <csignal>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include "scratch_folder.h"
 
+namespace {
+
+// Whether the wall clock of this process shows the same time at every call.
+bool g_wall_clock_stopped = false;
+
+}  // namespace
+
+// Replaces the function of the C library for this test program.
+extern "C" int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  if (clock == CLOCK_REALTIME && g_wall_clock_stopped) {
+    *time = {1'000'000, 0};
+    return 0;
+  }
+  return static_cast<int>(::syscall(SYS_clock_gettime, clock, time));
+}
+
 namespace bronzebarrow::consensus {
 namespace {
 
@@ -30,6 +50,7 @@
   CPPUNIT_TEST(StoresSnapshotOnceAFullDiskHasSpace);
   CPPUNIT_TEST(OpensWithoutWritingToAFullDisk);
   CPPUNIT_TEST(IgnoresSnapshotThatContradictsTheLog);
+  CPPUNIT_TEST(GenerationsNeverRepeat);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -229,6 +250,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{6}, state.m_entries.size());
   }
 
+  // Guards against a lost disk whose votes the next generation contradicts,
+  // because the wall clock was stepped back in between.
+  void GenerationsNeverRepeat() {
+    constexpr int kLosses = 50;
+    const StoppedWallClock stopped;
+    std::set<std::uint64_t> generations = {0, 1};
+    for (int i = 0; i < kLosses; ++i) {
+      generations.insert(Open()->recovered().m_id.m_generation);
+      std::filesystem::remove_all(Folder());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kLosses + 2}, generations.size());
+  }
+
  private:
   /** Lets files grow to `bytes` only, like a disk without space. */
   class FullDisk {
@@ -248,6 +282,14 @@
     rlimit m_before{};
   };
 
+  class StoppedWallClock {
+   public:
+    StoppedWallClock() { g_wall_clock_stopped = true; }
+    StoppedWallClock(const StoppedWallClock&) = delete;
+    StoppedWallClock& operator=(const StoppedWallClock&) = delete;
+    ~StoppedWallClock() { g_wall_clock_stopped = false; }
+  };
+
   /** @return whether the operation succeeded. */
   template <typename Operation>
   static bool Captured(Operation operation) {
