Report a read error instead of a shorter file

ReadFile copied the file's stream buffer into a string stream. A read error ends such a copy without setting the bad bit of the file's stream, which was checked. A member whose disk failed to read took what it had for the whole log and the missing rest for a torn tail: it cut acknowledged entries, or cleared its data folder. Settings files were read the same way.

Ruled out: checking the string stream. The copy sets its fail bit both for a read error and for an empty file (tried; the test still failed).

Evidence: UnreadableLogIsNotATornLog failed before with "Expected: data_folder_unusable, Actual: log_damaged". settings_test and log_store_test pass.

istream::read sets the bad bit on an error, so every failed read is reported.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -3,6 +3,7 @@
 #include "bronzebarrow/base/settings.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <charconv>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::string_view kAnyKey = "*";
+constexpr std::size_t kReadBytes = 65536;  // Read from a file at once.
 
 std::string KeyLocation(const std::string& path, int line,
                         std::string_view section, std::string_view key) {
@@ -290,12 +292,17 @@
   if (!file) {
     return Fail(code, path);
   }
-  std::ostringstream content;
-  content << file.rdbuf();
+  // A copy of the stream's buffer would end at a read error without a sign that
+  // tells it from an empty file; read() sets the bad bit.
+  std::string content;
+  std::array<char, kReadBytes> buffer;
+  while (file.read(buffer.data(), buffer.size()) || file.gcount() > 0) {
+    content.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
+  }
   if (file.bad()) {
     return Fail(code, path);
   }
-  return content.str();
+  return content;
 }
 
 }  // namespace bronzebarrow
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(OpensWithoutWritingToAFullDisk);
   CPPUNIT_TEST(IgnoresSnapshotThatContradictsTheLog);
   CPPUNIT_TEST(GenerationsNeverRepeat);
+  CPPUNIT_TEST(UnreadableLogIsNotATornLog);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -263,6 +264,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{kLosses + 2}, generations.size());
   }
 
+  // Guards against a read error that is taken for the end of the log. Reading
+  // a folder as a file fails.
+  void UnreadableLogIsNotATornLog() {
+    InitializeFolder();
+    std::filesystem::create_directory(Folder() + "/log-00000000000000000002");
+    AssertFailure(ErrorCode::kDataFolderUnusable, TryOpen("a"));
+  }
+
  private:
   /** Lets files grow to `bytes` only, like a disk without space. */
   class FullDisk {
