Refuse a data folder that cannot be listed instead of filling it

A folder whose listing failed counted as empty: opening it wrote a fresh log and a fresh identity over the member's own. Callers would see acknowledged work gone after a member's disk failed to read once.

Ruled out: that a failed listing makes the writes fail too. It does when the process is out of descriptors, not when the disk fails to read.

Evidence: UnlistedFolderIsNotAnEmptyFolder failed before with "Expected: data_folder_unusable, Actual: log_damaged". log_store_test passes.

Errors of listing a folder or of looking for the identity are now returned, so that only a folder known to be empty becomes a new generation.

--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -35,27 +35,33 @@
   return prefix + digits;
 }
 
-std::vector<std::string> ListFiles(const std::string& folder) {
+Result<std::vector<std::string>> ListFiles(const std::string& folder) {
   std::vector<std::string> names;
   std::error_code error;
-  for (const auto& item : fs::directory_iterator(folder, error)) {
-    names.push_back(item.path().filename().string());
+  fs::directory_iterator item(folder, error);
+  while (!error && item != fs::directory_iterator()) {
+    names.push_back(item->path().filename().string());
+    item.increment(error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kDataFolderUnusable,
+                folder + ": " + error.message());
   }
   std::sort(names.begin(), names.end());
   return names;
 }
 
-std::vector<std::string> FilesWithPrefix(const std::string& folder,
-                                         const std::string& prefix) {
-  std::vector<std::string> names = ListFiles(folder);
+Result<std::vector<std::string>> FilesWithPrefix(const std::string& folder,
+                                                 const std::string& prefix) {
+  BOOST_LEAF_AUTO(names, ListFiles(folder));
   std::erase_if(names, [&](const std::string& name) {
     return !name.starts_with(prefix) || name.ends_with(".tmp");
   });
   return names;
 }
 
-bool IsEmptyFolder(const std::string& folder) {
-  const std::vector<std::string> names = ListFiles(folder);
+Result<bool> IsEmptyFolder(const std::string& folder) {
+  BOOST_LEAF_AUTO(names, ListFiles(folder));
   return std::all_of(names.begin(), names.end(), [](const std::string& name) {
     return name == kLockName || name.ends_with(".tmp");
   });
@@ -96,7 +102,12 @@
 Result<ReplicaId> ReadIdentity(const std::string& folder,
                                const std::string& name) {
   const std::string path = folder + "/" + kIdentityName;
-  if (!fs::exists(path)) {
+  std::error_code error;
+  const bool exists = fs::exists(path, error);
+  if (error) {
+    return Fail(ErrorCode::kDataFolderUnusable, path + ": " + error.message());
+  }
+  if (!exists) {
     return Fail(ErrorCode::kDataFolderForeign,
                 folder + ": holds files but no identity");
   }
@@ -164,7 +175,8 @@
                                   const Membership& initial_members) {
   BOOST_LEAF_AUTO(lock, LockFolder(folder));
   ::close(lock);
-  if (!IsEmptyFolder(folder)) {
+  BOOST_LEAF_AUTO(is_empty, IsEmptyFolder(folder));
+  if (!is_empty) {
     return Fail(ErrorCode::kDataFolderNotEmpty, folder);
   }
   BOOST_LEAF_CHECK(WriteInitialLog(folder, initial_members));
@@ -177,7 +189,8 @@
   store->m_folder = folder;
   BOOST_LEAF_AUTO(lock, LockFolder(folder));
   store->m_lock_file = lock;
-  if (IsEmptyFolder(folder)) {
+  BOOST_LEAF_AUTO(is_empty, IsEmptyFolder(folder));
+  if (is_empty) {
     BOOST_LEAF_CHECK(WriteInitialLog(folder, Membership()));
     BOOST_LEAF_CHECK(WriteIdentity(folder, {name, NewGeneration()}));
     store->m_recovered.m_is_new = true;
@@ -203,7 +216,7 @@
 }
 
 Result<void> LogStore::RecoverLog() {
-  const auto logs = FilesWithPrefix(m_folder, kLogPrefix);
+  BOOST_LEAF_AUTO(logs, FilesWithPrefix(m_folder, kLogPrefix));
   if (logs.empty()) {
     return Fail(ErrorCode::kLogDamaged, m_folder + ": no log file");
   }
@@ -247,7 +260,7 @@
 Result<void> LogStore::RecoverSnapshot() {
   DurableState& state = m_recovered.m_state;
   const std::uint64_t last = state.m_base_index + state.m_entries.size();
-  auto snapshots = FilesWithPrefix(m_folder, kSnapshotPrefix);
+  BOOST_LEAF_AUTO(snapshots, FilesWithPrefix(m_folder, kSnapshotPrefix));
   std::reverse(snapshots.begin(), snapshots.end());
   for (const std::string& name : snapshots) {
     const std::uint64_t index =
@@ -324,7 +337,8 @@
 
 Result<void> LogStore::RemoveObsolete(const std::string& log_name,
                                       const std::string& snapshot_name) {
-  for (const std::string& name : ListFiles(m_folder)) {
+  BOOST_LEAF_AUTO(names, ListFiles(m_folder));
+  for (const std::string& name : names) {
     const bool obsolete_log = name.starts_with(kLogPrefix) && name != log_name;
     const bool obsolete_snapshot =
         name.starts_with(kSnapshotPrefix) && name != snapshot_name;
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -2,10 +2,13 @@
 #include "bronzebarrow/consensus/log_store.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <dirent.h>
+#include <dlfcn.h>
 #include <sys/resource.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <ctime>
 #include <filesystem>
@@ -18,10 +21,12 @@
 
 // Whether the wall clock of this process shows the same time at every call.
 bool g_wall_clock_stopped = false;
+bool g_listing_fails = false;
 
 }  // namespace
 
-// Replaces the function of the C library for this test program.
+// The functions below replace those of the C library for this test program.
+
 extern "C" int clock_gettime(clockid_t clock, timespec* time) noexcept {
   if (clock == CLOCK_REALTIME && g_wall_clock_stopped) {
     *time = {1'000'000, 0};
@@ -30,6 +35,17 @@
   return static_cast<int>(::syscall(SYS_clock_gettime, clock, time));
 }
 
+extern "C" dirent* readdir(DIR* folder) {
+  if (g_listing_fails) {
+    errno = EIO;
+    return nullptr;
+  }
+  using Function = dirent* (*)(DIR*);
+  static const auto original =
+      reinterpret_cast<Function>(::dlsym(RTLD_NEXT, "readdir"));
+  return original(folder);
+}
+
 namespace bronzebarrow::consensus {
 namespace {
 
@@ -52,6 +68,7 @@
   CPPUNIT_TEST(IgnoresSnapshotThatContradictsTheLog);
   CPPUNIT_TEST(GenerationsNeverRepeat);
   CPPUNIT_TEST(UnreadableLogIsNotATornLog);
+  CPPUNIT_TEST(UnlistedFolderIsNotAnEmptyFolder);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -272,6 +289,21 @@
     AssertFailure(ErrorCode::kDataFolderUnusable, TryOpen("a"));
   }
 
+  // Guards against fresh files over intact ones that could not be listed.
+  void UnlistedFolderIsNotAnEmptyFolder() {
+    InitializeFolder();
+    Write(*Open(), 1, 3);
+    g_listing_fails = true;
+    const auto opened = TryOpen("a");
+    g_listing_fails = false;
+    AssertFailure(ErrorCode::kDataFolderUnusable, opened);
+    const StorePtr store = Open();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         store->recovered().m_id.m_generation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         store->recovered().m_state.m_entries.size());
+  }
+
  private:
   /** Lets files grow to `bytes` only, like a disk without space. */
   class FullDisk {
