Discard a data folder only when its data is lost

A member cleared its data folder after every failure to open it: while another process still held it (whose files it deleted), when the disk failed to read, and when the folder belonged to another member. Callers would see acknowledged work gone once that happens to a quorum, and a member less until it has joined again.

Ruled out: that the retry for a disk that rejects writes covers these. It applied to that one error code only.

A folder without an identity still counts as new: the identity is its last file, so nothing in it was acknowledged. The first start of a group waits for its disk the same way.

--- a/include/bronzebarrow/consensus/log_store.h
+++ b/include/bronzebarrow/consensus/log_store.h
@@ -39,6 +39,9 @@
                                  const std::string& name,
                                  const Membership& initial_members);
 
+  /** @return whether the folder holds the files of a member. */
+  static Result<bool> HasIdentity(const std::string& folder);
+
   /**
    * Opens and locks the folder of member `name`. An empty folder becomes a new
    * generation of that member, which must join the group before it may vote.
--- a/include/bronzebarrow/node.h
+++ b/include/bronzebarrow/node.h
@@ -4,6 +4,7 @@
 #ifndef BRONZEBARROW_NODE_H_
 #define BRONZEBARROW_NODE_H_
 
+#include "bronzebarrow/node/data_folder.h"
 #include "bronzebarrow/node/leader_link.h"
 #include "bronzebarrow/node/member_node.h"
 #include "bronzebarrow/node/peer_table.h"
--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -102,11 +102,7 @@
 Result<ReplicaId> ReadIdentity(const std::string& folder,
                                const std::string& name) {
   const std::string path = folder + "/" + kIdentityName;
-  std::error_code error;
-  const bool exists = fs::exists(path, error);
-  if (error) {
-    return Fail(ErrorCode::kDataFolderUnusable, path + ": " + error.message());
-  }
+  BOOST_LEAF_AUTO(exists, LogStore::HasIdentity(folder));
   if (!exists) {
     return Fail(ErrorCode::kDataFolderForeign,
                 folder + ": holds files but no identity");
@@ -183,6 +179,16 @@
   return WriteIdentity(folder, {name, kInitialGeneration});
 }
 
+Result<bool> LogStore::HasIdentity(const std::string& folder) {
+  const std::string path = folder + "/" + kIdentityName;
+  std::error_code error;
+  const bool exists = fs::exists(path, error);
+  if (error) {
+    return Fail(ErrorCode::kDataFolderUnusable, path + ": " + error.message());
+  }
+  return exists;
+}
+
 Result<std::unique_ptr<LogStore>> LogStore::Open(const std::string& folder,
                                                  const std::string& name) {
   std::unique_ptr<LogStore> store(new LogStore());
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -9,12 +9,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
-#include <filesystem>
 #include <random>
-#include <thread>
 #include <utility>
 
 #include "bronzebarrow/base/event_log.h"
+#include "bronzebarrow/node/data_folder.h"
 
 namespace bronzebarrow::node {
 namespace {
@@ -27,11 +26,6 @@
 constexpr Duration kRunnerResponseTimeout = Millis(700);
 constexpr Duration kMachineTimeout = Millis(1500);
 constexpr Duration kAdviceTimeout = Millis(6000);
-// Pause between attempts to write to a disk that rejects writes, or to open a
-// data folder on it.
-constexpr auto kDiskRetryInterval = std::chrono::milliseconds(100);
-// A disk fault is logged once per this number of failed attempts.
-constexpr int kDiskAttemptsPerLogLine = 10;
 constexpr int kMaxInventoryPages = 64;
 constexpr Duration kRetirePollInterval = Millis(50);
 constexpr int kMaxRetirePolls = 30;
@@ -69,84 +63,17 @@
   return options;
 }
 
-void LogDiskFault(const Failure& failure, int attempt, const char* action) {
-  if (attempt % kDiskAttemptsPerLogLine == 0) {
-    EventLine(Event::kDiskFault, Severity::kWarning)
-        .Field("code", failure.m_code)
-        .Field("context", failure.m_context)
-        .Field("attempt", attempt)
-        .Field("action", action);
-  }
-}
-
-// Blocks while the disk rejects writes. Until the batch is stored the member
-// acknowledges nothing; as the leader it offers the leadership to another one.
-void WriteUntilStored(consensus::LogStore& store,
-                      const consensus::DurableBatchOut& batch) {
-  for (int attempt = 0;; ++attempt) {
-    const auto written = Capture<bool>([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(store.Write(batch));
-      return true;
-    });
-    const auto* const failure = std::get_if<Failure>(&written);
-    if (failure == nullptr) {
-      if (attempt > 0) {
-        EventLine(Event::kDiskFault)
-            .Field("attempt", attempt)
-            .Field("action", "stored");
-      }
-      return;
-    }
-    LogDiskFault(*failure, attempt, "writing the batch again");
-    std::this_thread::sleep_for(kDiskRetryInterval);
-  }
-}
-
-// Blocks while the folder's disk rejects writes: its content is intact then, so
-// the member must not rejoin as a new generation.
-std::variant<std::unique_ptr<consensus::LogStore>, Failure> OpenWhenWritable(
-    const MemberSettings& settings) {
-  for (int attempt = 0;; ++attempt) {
-    auto opened = Capture<std::unique_ptr<consensus::LogStore>>([&] {
-      return consensus::LogStore::Open(settings.m_data_folder, settings.m_name);
-    });
-    const auto* const failure = std::get_if<Failure>(&opened);
-    if (failure == nullptr || failure->m_code != ErrorCode::kDiskWriteFailed) {
-      return opened;
-    }
-    LogDiskFault(*failure, attempt, "opening the data folder again");
-    FlushLog();
-    std::this_thread::sleep_for(kDiskRetryInterval);
-  }
-}
-
-// A data folder that cannot be read counts as a lost disk: the member rejoins
-// as a new generation, so it cannot contradict votes whose record was lost.
-void ClearFolder(const std::string& folder) {
-  std::error_code error;
-  for (const auto& item : std::filesystem::directory_iterator(folder, error)) {
-    std::filesystem::remove_all(item.path(), error);
-  }
-}
-
-Result<void> CreateGroupIfFirstStart(const MemberSettings& settings) {
-  std::error_code error;
+DataFolderSettings MakeFolderSettings(const MemberSettings& settings) {
   const bool is_seed =
       std::find(settings.m_seeds.begin(), settings.m_seeds.end(),
                 settings.m_name) != settings.m_seeds.end();
-  const bool has_files =
-      std::filesystem::exists(settings.m_data_folder + "/identity", error);
-  if (!settings.m_is_first_start || !is_seed || has_files) {
-    return {};
-  }
-  std::vector<consensus::Member> initial_members;
-  for (const std::string& seed : settings.m_seeds) {
-    initial_members.push_back({{seed, 1}, true});
-  }
-  ClearFolder(settings.m_data_folder);
-  return consensus::LogStore::Initialize(
-      settings.m_data_folder, settings.m_name,
-      consensus::Membership(initial_members));
+  DataFolderSettings folder;
+  folder.m_folder = settings.m_data_folder;
+  folder.m_member = settings.m_name;
+  if (settings.m_is_first_start && is_seed) {
+    folder.m_initial_members = settings.m_seeds;
+  }
+  return folder;
 }
 
 }  // namespace
@@ -154,21 +81,7 @@
 Result<std::shared_ptr<MemberNode>> MemberNode::Open(
     asio::any_io_executor executor, MemberSettings settings,
     std::shared_ptr<const ProtocolCodec> codec) {
-  BOOST_LEAF_CHECK(CreateGroupIfFirstStart(settings));
-  auto opened = OpenWhenWritable(settings);
-  if (const auto* failure = std::get_if<Failure>(&opened)) {
-    EventLine(Event::kRecordRefused, Severity::kError)
-        .Field("code", failure->m_code)
-        .Field("context", failure->m_context)
-        .Field("action", "joining as a new generation");
-    ClearFolder(settings.m_data_folder);
-    opened = OpenWhenWritable(settings);
-    if (const auto* again = std::get_if<Failure>(&opened)) {
-      return boost::leaf::new_error(*again);
-    }
-  }
-  std::unique_ptr<consensus::LogStore> store =
-      std::move(std::get<std::unique_ptr<consensus::LogStore>>(opened));
+  BOOST_LEAF_AUTO(store, OpenDataFolder(MakeFolderSettings(settings)));
   const auto& recovered = store->recovered();
   EventLine(Event::kLogRecovered)
       .Field("member", settings.m_name)
