Sync the name of a new data folder

A data folder that the member creates itself was never synced into its parent. A loss of power could take the folder with everything that had been acknowledged; when all members lose power, callers would find an empty group. A folder that the deployment provides is not affected.

Ruled out: that syncs of the files or of the folder itself cover its name.

Evidence: KeepsNameOfNewFolder, on a fake disk that keeps or loses each name that was not synced, failed before with "the folder was empty".

The parent is synced when the folder is created. If that fails the folder is removed, so that the next attempt syncs it. Open: a process killed between the creation and the sync leaves a folder whose name is not synced.

--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -67,9 +67,27 @@
   });
 }
 
-Result<int> LockFolder(const std::string& folder) {
+// Creates the folder if there is none and syncs its name: with the name, a loss
+// of power would take all files.
+Result<void> CreateFolder(const std::string& folder) {
   std::error_code error;
-  fs::create_directories(folder, error);
+  const fs::path path = fs::absolute(folder, error);
+  if (error || !fs::create_directories(path, error)) {
+    return {};  // It exists, or opening the lock tells why it does not.
+  }
+  const auto synced = Capture<bool>([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(SyncFolder(path.parent_path().string()));
+    return true;
+  });
+  if (const auto* const failure = std::get_if<Failure>(&synced)) {
+    fs::remove(path, error);  // So that the next attempt creates it again.
+    return boost::leaf::new_error(*failure);
+  }
+  return {};
+}
+
+Result<int> LockFolder(const std::string& folder) {
+  BOOST_LEAF_CHECK(CreateFolder(folder));
   const std::string path = folder + "/" + kLockName;
   const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
   if (file < 0) {
