Sync the data folder when it is opened

A member that was killed after it had renamed its new log file, and before it had synced the folder, started again on the new file and appended to it. A loss of power in that time left the old log: everything acknowledged since the restart was gone.

Open syncs the folder before it reads the files, so no name that it relies on can be lost later.

--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -235,6 +235,9 @@
 Result<void> LogStore::Recover(const std::string& name) {
   BOOST_LEAF_AUTO(id, ReadIdentity(m_folder, name));
   m_recovered.m_id = id;
+  // A process that was killed may have renamed a file without syncing the
+  // folder; what is appended to that file must not be lost with its name.
+  BOOST_LEAF_CHECK(SyncFolder(m_folder));
   BOOST_LEAF_CHECK(RecoverLog());
   return RecoverSnapshot();
 }
