Copy the log when a first attempt to open the folder failed

A process is killed between the write and the sync of a record. The next one reads the record and syncs it; that sync fails, and the system may drop the write while the record can still be read. The next attempt's sync succeeds, the record counts as stored, and records follow it. After a loss of power the log has a hole before valid records: it was refused as damaged and the folder cleared, with all that the member had acknowledged.

Ruled out: the same in Append, which writes the record again after a failure. Not covered: the failed sync and the next attempt lie in two processes; no file tells the second one of the failure.

Evidence: KeepsRecordWhoseSyncFailedWhileOpening fails without the copy ("the log is damaged before its end ... at byte 56").

An attempt after a failure writes the log to a new file, which is synced as a whole and depends on no earlier write. A full disk does not cause it: opening an intact log writes nothing.

--- a/include/bronzebarrow/consensus/log_store.h
+++ b/include/bronzebarrow/consensus/log_store.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 
 #include "bronzebarrow/base/failure.h"
@@ -22,6 +23,9 @@
  */
 class LogStore {
  public:
+  /** Whether this process tried to open the folder before. */
+  enum class OpenAttempt { kFirst, kAfterFailure };
+
   /** State that Open recovered from the folder. */
   struct Recovered {
     ReplicaId m_id;
@@ -45,9 +49,12 @@
   /**
    * Opens and locks the folder of member `name`. An empty folder becomes a new
    * generation of that member, which must join the group before it may vote.
+   * After a failure the log is copied: if a sync failed, the disk may have
+   * dropped a record that can still be read, and a later sync succeeds.
    */
-  static Result<std::unique_ptr<LogStore>> Open(const std::string& folder,
-                                                const std::string& name);
+  static Result<std::unique_ptr<LogStore>> Open(
+      const std::string& folder, const std::string& name,
+      OpenAttempt attempt = OpenAttempt::kFirst);
 
   LogStore(const LogStore&) = delete;
   LogStore& operator=(const LogStore&) = delete;
@@ -68,11 +75,14 @@
 
  private:
   LogStore() = default;
-  Result<void> Recover(const std::string& name);
-  Result<void> RecoverLog();
+  Result<void> Recover(const std::string& name, OpenAttempt attempt);
+  Result<void> RecoverLog(OpenAttempt attempt);
   Result<void> RecoverSnapshot();
   Result<void> Append(const DurableBatchOut& batch);
   Result<void> ReplaceLog(const DurableBatchOut& batch);
+  // Continues the log in a new file with these bytes.
+  Result<void> SwitchLog(const std::string& log_name,
+                         std::span<const std::uint8_t> bytes);
   Result<void> RemoveObsolete(const std::string& log_name,
                               const std::string& snapshot_name);
 
--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -208,7 +208,8 @@
 }
 
 Result<std::unique_ptr<LogStore>> LogStore::Open(const std::string& folder,
-                                                 const std::string& name) {
+                                                 const std::string& name,
+                                                 OpenAttempt attempt) {
   std::unique_ptr<LogStore> store(new LogStore());
   store->m_folder = folder;
   BOOST_LEAF_AUTO(lock, LockFolder(folder));
@@ -219,7 +220,7 @@
     BOOST_LEAF_CHECK(WriteIdentity(folder, {name, NewGeneration()}));
     store->m_recovered.m_is_new = true;
   }
-  BOOST_LEAF_CHECK(store->Recover(name));
+  BOOST_LEAF_CHECK(store->Recover(name, attempt));
   return store;
 }
 
@@ -232,17 +233,17 @@
   }
 }
 
-Result<void> LogStore::Recover(const std::string& name) {
+Result<void> LogStore::Recover(const std::string& name, OpenAttempt attempt) {
   BOOST_LEAF_AUTO(id, ReadIdentity(m_folder, name));
   m_recovered.m_id = id;
   // A process that was killed may have renamed a file without syncing the
   // folder; what is appended to that file must not be lost with its name.
   BOOST_LEAF_CHECK(SyncFolder(m_folder));
-  BOOST_LEAF_CHECK(RecoverLog());
+  BOOST_LEAF_CHECK(RecoverLog(attempt));
   return RecoverSnapshot();
 }
 
-Result<void> LogStore::RecoverLog() {
+Result<void> LogStore::RecoverLog(OpenAttempt attempt) {
   BOOST_LEAF_AUTO(logs, FilesWithPrefix(m_folder, kLogPrefix));
   if (logs.empty()) {
     return Fail(ErrorCode::kLogDamaged, m_folder + ": no log file");
@@ -267,6 +268,11 @@
     return Fail(ErrorCode::kLogDamaged,
                 path + " at byte " + std::to_string(valid_bytes));
   }
+  m_recovered.m_cut_bytes = rest.size();
+  if (attempt == OpenAttempt::kAfterFailure) {
+    return SwitchLog(NumberedFileName(kLogPrefix, ++m_log_sequence),
+                     ByteView(bytes).first(valid_bytes));
+  }
   m_log_file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
   if (m_log_file < 0) {
     return Fail(ErrorCode::kDataFolderUnusable,
@@ -279,7 +285,6 @@
     BOOST_LEAF_CHECK(
         Truncate(m_log_file, static_cast<off_t>(valid_bytes), path));
   }
-  m_recovered.m_cut_bytes = rest.size();
   m_log_bytes = valid_bytes;
   return SyncData(m_log_file, path);
 }
@@ -347,19 +352,25 @@
   BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, snapshot_name, image));
 
   const std::string log_name = NumberedFileName(kLogPrefix, ++m_log_sequence);
-  const std::string log_path = m_folder + "/" + log_name;
-  const Bytes record =
-      EncodeRecord(wire::Encode<wire::DurableBatch>(batch.m_batch));
-  BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, log_name, record));
-  ::close(m_log_file);
-  m_log_file = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  BOOST_LEAF_CHECK(SwitchLog(
+      log_name, EncodeRecord(wire::Encode<wire::DurableBatch>(batch.m_batch))));
+  return RemoveObsolete(log_name, snapshot_name);
+}
+
+Result<void> LogStore::SwitchLog(const std::string& log_name, ByteView bytes) {
+  const std::string path = m_folder + "/" + log_name;
+  BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, log_name, bytes));
+  if (m_log_file >= 0) {
+    ::close(m_log_file);
+  }
+  m_log_file = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
   if (m_log_file < 0) {
     return Fail(ErrorCode::kDiskWriteFailed,
-                log_path + ": " + std::strerror(errno));
+                path + ": " + std::strerror(errno));
   }
-  m_log_bytes = record.size();
+  m_log_bytes = bytes.size();
   m_has_failed_tail = false;
-  return RemoveObsolete(log_name, snapshot_name);
+  return {};
 }
 
 Result<void> LogStore::RemoveObsolete(const std::string& log_name,
--- a/src/node/data_folder.cc
+++ b/src/node/data_folder.cc
@@ -75,7 +75,8 @@
   return {};
 }
 
-Result<StorePtr> OpenOnce(const DataFolderSettings& settings) {
+Result<StorePtr> OpenOnce(const DataFolderSettings& settings,
+                          consensus::LogStore::OpenAttempt attempt) {
   BOOST_LEAF_AUTO(has_identity,
                   consensus::LogStore::HasIdentity(settings.m_folder));
   if (!has_identity) {
@@ -92,13 +93,15 @@
           consensus::Membership(std::move(members))));
     }
   }
-  return consensus::LogStore::Open(settings.m_folder, settings.m_member);
+  return consensus::LogStore::Open(settings.m_folder, settings.m_member,
+                                   attempt);
 }
 
 // A member whose data is lost rejoins as a new generation, so it cannot
 // contradict votes whose record was lost.
-Result<StorePtr> OpenOrDiscard(const DataFolderSettings& settings) {
-  auto opened = Capture<StorePtr>([&] { return OpenOnce(settings); });
+Result<StorePtr> OpenOrDiscard(const DataFolderSettings& settings,
+                               consensus::LogStore::OpenAttempt attempt) {
+  auto opened = Capture<StorePtr>([&] { return OpenOnce(settings, attempt); });
   const auto* const failure = std::get_if<Failure>(&opened);
   if (failure == nullptr) {
     return std::move(std::get<StorePtr>(opened));
@@ -117,8 +120,13 @@
 }  // namespace
 
 Result<StorePtr> OpenDataFolder(const DataFolderSettings& settings) {
+  using consensus::LogStore;
   for (int attempt = 0;; ++attempt) {
-    auto opened = Capture<StorePtr>([&] { return OpenOrDiscard(settings); });
+    auto opened = Capture<StorePtr>([&] {
+      return OpenOrDiscard(settings,
+                           attempt == 0 ? LogStore::OpenAttempt::kFirst
+                                        : LogStore::OpenAttempt::kAfterFailure);
+    });
     const auto* const failure = std::get_if<Failure>(&opened);
     if (failure == nullptr) {
       return std::move(std::get<StorePtr>(opened));
--- a/tests/power_loss_test.cc
+++ b/tests/power_loss_test.cc
@@ -127,6 +127,7 @@
   CPPUNIT_TEST_SUITE(PowerLossTest);
   CPPUNIT_TEST(KeepsNameOfNewFolder);
   CPPUNIT_TEST(RecoversStoredBatches);
+  CPPUNIT_TEST(KeepsRecordWhoseSyncFailedWhileOpening);
   CPPUNIT_TEST(RecoversStoredBatchesAfterFailures);
   CPPUNIT_TEST_SUITE_END();
 
@@ -148,6 +149,36 @@
   void RecoversStoredBatches() { CrashAtRandom(0); }
   void RecoversStoredBatchesAfterFailures() { CrashAtRandom(0.1); }
 
+  // Guards against a hole in the log: a process is killed before the sync of a
+  // record, and the first attempt to open the folder fails with that sync.
+  void KeepsRecordWhoseSyncFailedWhileOpening() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      const ScratchFolder scratch;
+      const std::string folder = scratch.path() + "/data";
+      FaultyDisk disk(folder, seed);
+      Writer writer(seed);
+      DurableBatchOut batch = writer.MakeBatch();
+      CPPUNIT_ASSERT(LogStore::Initialize(folder, "a", Membership()));
+      {
+        const StorePtr store = Open(folder);
+        disk.StopAfter(1);
+        CPPUNIT_ASSERT(!WriteUntilStored(*store, batch));
+      }
+      disk.Revive();
+      disk.SetFailures(0.3);
+      {
+        const StorePtr store = Open(folder);
+        disk.SetFailures(0);
+        writer.CheckRecovered(store->recovered().m_state, batch);
+        batch = writer.MakeBatch();
+        CPPUNIT_ASSERT(WriteUntilStored(*store, batch));
+        writer.OnStored(batch);
+      }
+      disk.LosePower();
+      writer.CheckRecovered(Open(folder)->recovered().m_state, batch);
+    }
+  }
+
  private:
   static void CrashAtRandom(double failures) {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -191,8 +222,12 @@
 
   static StorePtr Open(const std::string& folder) {
     for (int attempt = 0;; ++attempt) {
-      auto opened =
-          Capture<StorePtr>([&] { return LogStore::Open(folder, "a"); });
+      auto opened = Capture<StorePtr>([&] {
+        return LogStore::Open(folder, "a",
+                              attempt == 0
+                                  ? LogStore::OpenAttempt::kFirst
+                                  : LogStore::OpenAttempt::kAfterFailure);
+      });
       const auto* const failure = std::get_if<Failure>(&opened);
       if (failure == nullptr) {
         StorePtr store = std::move(std::get<StorePtr>(opened));
