Remove the temporary file of a failed write

Each attempt left its temporary file, cut off where the space ended, so the attempts filled up what became free and could keep the member from storing anything: no acknowledgement from it until then.

Ruled out: that the next attempt overwrites the file.

Evidence: FailedWritesFreeTheirSpace failed before with "Expression: item.path().extension() != .tmp". log_store_test and power_loss_test pass.

A failed write removes its file, so an attempt leaves the space as it found it.

--- a/src/consensus/file.cc
+++ b/src/consensus/file.cc
@@ -76,10 +76,13 @@
   });
   ::close(file);
   if (const auto* failure = std::get_if<Failure>(&written)) {
+    std::remove(temporary.c_str());  // Frees its space on a full disk.
     return boost::leaf::new_error(*failure);
   }
   if (std::rename(temporary.c_str(), path.c_str()) != 0) {
-    return DiskFailure(path);
+    const auto error = DiskFailure(path);
+    std::remove(temporary.c_str());
+    return error;
   }
   return SyncFolder(folder);
 }
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(GenerationsNeverRepeat);
   CPPUNIT_TEST(UnreadableLogIsNotATornLog);
   CPPUNIT_TEST(UnlistedFolderIsNotAnEmptyFolder);
+  CPPUNIT_TEST(FailedWritesFreeTheirSpace);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -304,6 +305,20 @@
                          store->recovered().m_state.m_entries.size());
   }
 
+  // Guards against a full disk that repeated attempts fill up further.
+  void FailedWritesFreeTheirSpace() {
+    InitializeFolder();
+    const StorePtr store = Open();
+    Write(*store, 1, 5);
+    for (const std::uint64_t space : {50, 300, 300}) {
+      const FullDisk full(space);
+      CPPUNIT_ASSERT(!Captured([&] { return store->Write(SnapshotBatch()); }));
+    }
+    for (const auto& item : std::filesystem::directory_iterator(Folder())) {
+      CPPUNIT_ASSERT_MESSAGE(item.path(), item.path().extension() != ".tmp");
+    }
+  }
+
  private:
   /** Lets files grow to `bytes` only, like a disk without space. */
   class FullDisk {
