--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -9,10 +9,10 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
+#include <random>
 #include <utility>
 #include <vector>
 
-#include "bronzebarrow/base/time.h"
 #include "bronzebarrow/wire/codec.h"
 #include "consensus/file.h"
 #include "consensus/record.h"
@@ -35,35 +35,59 @@
   return prefix + digits;
 }
 
-std::vector<std::string> ListFiles(const std::string& folder) {
+Result<std::vector<std::string>> ListFiles(const std::string& folder) {
   std::vector<std::string> names;
   std::error_code error;
-  for (const auto& item : fs::directory_iterator(folder, error)) {
-    names.push_back(item.path().filename().string());
+  fs::directory_iterator item(folder, error);
+  while (!error && item != fs::directory_iterator()) {
+    names.push_back(item->path().filename().string());
+    item.increment(error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kDataFolderUnusable,
+                folder + ": " + error.message());
   }
   std::sort(names.begin(), names.end());
   return names;
 }
 
-std::vector<std::string> FilesWithPrefix(const std::string& folder,
-                                         const std::string& prefix) {
-  std::vector<std::string> names = ListFiles(folder);
+Result<std::vector<std::string>> FilesWithPrefix(const std::string& folder,
+                                                 const std::string& prefix) {
+  BOOST_LEAF_AUTO(names, ListFiles(folder));
   std::erase_if(names, [&](const std::string& name) {
     return !name.starts_with(prefix) || name.ends_with(".tmp");
   });
   return names;
 }
 
-bool IsEmptyFolder(const std::string& folder) {
-  const std::vector<std::string> names = ListFiles(folder);
+Result<bool> IsEmptyFolder(const std::string& folder) {
+  BOOST_LEAF_AUTO(names, ListFiles(folder));
   return std::all_of(names.begin(), names.end(), [](const std::string& name) {
     return name == kLockName || name.ends_with(".tmp");
   });
 }
 
-Result<int> LockFolder(const std::string& folder) {
+// Creates the folder if there is none and syncs its name: with the name, a loss
+// of power would take all files.
+Result<void> CreateFolder(const std::string& folder) {
   std::error_code error;
-  fs::create_directories(folder, error);
+  const fs::path path = fs::absolute(folder, error);
+  if (error || !fs::create_directories(path, error)) {
+    return {};  // It exists, or opening the lock tells why it does not.
+  }
+  const auto synced = Capture<bool>([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(SyncFolder(path.parent_path().string()));
+    return true;
+  });
+  if (const auto* const failure = std::get_if<Failure>(&synced)) {
+    fs::remove(path, error);  // So that the next attempt creates it again.
+    return boost::leaf::new_error(*failure);
+  }
+  return {};
+}
+
+Result<int> LockFolder(const std::string& folder) {
+  BOOST_LEAF_CHECK(CreateFolder(folder));
   const std::string path = folder + "/" + kLockName;
   const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
   if (file < 0) {
@@ -77,6 +101,14 @@
   return file;
 }
 
+// A generation must never repeat, or a member could contradict a vote whose
+// record was lost. A clock could be stepped back between two generations.
+std::uint64_t NewGeneration() {
+  std::random_device random;
+  std::uniform_int_distribution<std::uint64_t> pick(kInitialGeneration + 1);
+  return pick(random);
+}
+
 Result<void> WriteIdentity(const std::string& folder, const ReplicaId& id) {
   wire::MemberT identity;
   identity.name = id.m_name;
@@ -88,7 +120,8 @@
 Result<ReplicaId> ReadIdentity(const std::string& folder,
                                const std::string& name) {
   const std::string path = folder + "/" + kIdentityName;
-  if (!fs::exists(path)) {
+  BOOST_LEAF_AUTO(exists, LogStore::HasIdentity(folder));
+  if (!exists) {
     return Fail(ErrorCode::kDataFolderForeign,
                 folder + ": holds files but no identity");
   }
@@ -136,6 +169,12 @@
   }
 }
 
+std::uint64_t TermAt(const DurableState& state, std::uint64_t index) {
+  return index == state.m_base_index
+             ? state.m_base_term
+             : state.m_entries[index - state.m_base_index - 1].term;
+}
+
 bool IsConsecutive(const DurableState& state) {
   std::uint64_t expected = state.m_base_index;
   return std::all_of(
@@ -150,25 +189,38 @@
                                   const Membership& initial_members) {
   BOOST_LEAF_AUTO(lock, LockFolder(folder));
   ::close(lock);
-  if (!IsEmptyFolder(folder)) {
+  BOOST_LEAF_AUTO(is_empty, IsEmptyFolder(folder));
+  if (!is_empty) {
     return Fail(ErrorCode::kDataFolderNotEmpty, folder);
   }
   BOOST_LEAF_CHECK(WriteInitialLog(folder, initial_members));
   return WriteIdentity(folder, {name, kInitialGeneration});
 }
 
+Result<bool> LogStore::HasIdentity(const std::string& folder) {
+  const std::string path = folder + "/" + kIdentityName;
+  std::error_code error;
+  const bool exists = fs::exists(path, error);
+  if (error) {
+    return Fail(ErrorCode::kDataFolderUnusable, path + ": " + error.message());
+  }
+  return exists;
+}
+
 Result<std::unique_ptr<LogStore>> LogStore::Open(const std::string& folder,
-                                                 const std::string& name) {
+                                                 const std::string& name,
+                                                 OpenAttempt attempt) {
   std::unique_ptr<LogStore> store(new LogStore());
   store->m_folder = folder;
   BOOST_LEAF_AUTO(lock, LockFolder(folder));
   store->m_lock_file = lock;
-  if (IsEmptyFolder(folder)) {
+  BOOST_LEAF_AUTO(is_empty, IsEmptyFolder(folder));
+  if (is_empty) {
     BOOST_LEAF_CHECK(WriteInitialLog(folder, Membership()));
-    BOOST_LEAF_CHECK(WriteIdentity(folder, {name, WallMillis()}));
+    BOOST_LEAF_CHECK(WriteIdentity(folder, {name, NewGeneration()}));
     store->m_recovered.m_is_new = true;
   }
-  BOOST_LEAF_CHECK(store->Recover(name));
+  BOOST_LEAF_CHECK(store->Recover(name, attempt));
   return store;
 }
 
@@ -181,15 +233,18 @@
   }
 }
 
-Result<void> LogStore::Recover(const std::string& name) {
+Result<void> LogStore::Recover(const std::string& name, OpenAttempt attempt) {
   BOOST_LEAF_AUTO(id, ReadIdentity(m_folder, name));
   m_recovered.m_id = id;
-  BOOST_LEAF_CHECK(RecoverLog());
+  // A process that was killed may have renamed a file without syncing the
+  // folder; what is appended to that file must not be lost with its name.
+  BOOST_LEAF_CHECK(SyncFolder(m_folder));
+  BOOST_LEAF_CHECK(RecoverLog(attempt));
   return RecoverSnapshot();
 }
 
-Result<void> LogStore::RecoverLog() {
-  const auto logs = FilesWithPrefix(m_folder, kLogPrefix);
+Result<void> LogStore::RecoverLog(OpenAttempt attempt) {
+  BOOST_LEAF_AUTO(logs, FilesWithPrefix(m_folder, kLogPrefix));
   if (logs.empty()) {
     return Fail(ErrorCode::kLogDamaged, m_folder + ": no log file");
   }
@@ -213,6 +268,11 @@
     return Fail(ErrorCode::kLogDamaged,
                 path + " at byte " + std::to_string(valid_bytes));
   }
+  m_recovered.m_cut_bytes = rest.size();
+  if (attempt == OpenAttempt::kAfterFailure) {
+    return SwitchLog(NumberedFileName(kLogPrefix, ++m_log_sequence),
+                     ByteView(bytes).first(valid_bytes));
+  }
   m_log_file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
   if (m_log_file < 0) {
     return Fail(ErrorCode::kDataFolderUnusable,
@@ -225,7 +285,6 @@
     BOOST_LEAF_CHECK(
         Truncate(m_log_file, static_cast<off_t>(valid_bytes), path));
   }
-  m_recovered.m_cut_bytes = rest.size();
   m_log_bytes = valid_bytes;
   return SyncData(m_log_file, path);
 }
@@ -233,7 +292,7 @@
 Result<void> LogStore::RecoverSnapshot() {
   DurableState& state = m_recovered.m_state;
   const std::uint64_t last = state.m_base_index + state.m_entries.size();
-  auto snapshots = FilesWithPrefix(m_folder, kSnapshotPrefix);
+  BOOST_LEAF_AUTO(snapshots, FilesWithPrefix(m_folder, kSnapshotPrefix));
   std::reverse(snapshots.begin(), snapshots.end());
   for (const std::string& name : snapshots) {
     const std::uint64_t index =
@@ -249,6 +308,11 @@
     if (!snapshot || !snapshot->membership) {
       return Fail(ErrorCode::kLogDamaged, path);
     }
+    // A snapshot is written before the log that starts from it. Until that log
+    // is durable, the old one may hold another leader's entry at this index.
+    if (snapshot->last_term != TermAt(state, index)) {
+      continue;
+    }
     state.m_snapshot = std::move(snapshot);
     return {};
   }
@@ -288,24 +352,31 @@
   BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, snapshot_name, image));
 
   const std::string log_name = NumberedFileName(kLogPrefix, ++m_log_sequence);
-  const std::string log_path = m_folder + "/" + log_name;
-  const Bytes record =
-      EncodeRecord(wire::Encode<wire::DurableBatch>(batch.m_batch));
-  BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, log_name, record));
-  ::close(m_log_file);
-  m_log_file = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  BOOST_LEAF_CHECK(SwitchLog(
+      log_name, EncodeRecord(wire::Encode<wire::DurableBatch>(batch.m_batch))));
+  return RemoveObsolete(log_name, snapshot_name);
+}
+
+Result<void> LogStore::SwitchLog(const std::string& log_name, ByteView bytes) {
+  const std::string path = m_folder + "/" + log_name;
+  BOOST_LEAF_CHECK(WriteFileAtomically(m_folder, log_name, bytes));
+  if (m_log_file >= 0) {
+    ::close(m_log_file);
+  }
+  m_log_file = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
   if (m_log_file < 0) {
     return Fail(ErrorCode::kDiskWriteFailed,
-                log_path + ": " + std::strerror(errno));
+                path + ": " + std::strerror(errno));
   }
-  m_log_bytes = record.size();
+  m_log_bytes = bytes.size();
   m_has_failed_tail = false;
-  return RemoveObsolete(log_name, snapshot_name);
+  return {};
 }
 
 Result<void> LogStore::RemoveObsolete(const std::string& log_name,
                                       const std::string& snapshot_name) {
-  for (const std::string& name : ListFiles(m_folder)) {
+  BOOST_LEAF_AUTO(names, ListFiles(m_folder));
+  for (const std::string& name : names) {
     const bool obsolete_log = name.starts_with(kLogPrefix) && name != log_name;
     const bool obsolete_snapshot =
         name.starts_with(kSnapshotPrefix) && name != snapshot_name;
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -2,14 +2,50 @@
 #include "bronzebarrow/consensus/log_store.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <dirent.h>
+#include <dlfcn.h>
 #include <sys/resource.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include "scratch_folder.h"
 
+namespace {
+
+// Whether the wall clock of this process shows the same time at every call.
+bool g_wall_clock_stopped = false;
+bool g_listing_fails = false;
+
+}  // namespace
+
+// The functions below replace those of the C library for this test program.
+
+extern "C" int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  if (clock == CLOCK_REALTIME && g_wall_clock_stopped) {
+    *time = {1'000'000, 0};
+    return 0;
+  }
+  return static_cast<int>(::syscall(SYS_clock_gettime, clock, time));
+}
+
+extern "C" dirent* readdir(DIR* folder) {
+  if (g_listing_fails) {
+    errno = EIO;
+    return nullptr;
+  }
+  using Function = dirent* (*)(DIR*);
+  static const auto original =
+      reinterpret_cast<Function>(::dlsym(RTLD_NEXT, "readdir"));
+  return original(folder);
+}
+
 namespace bronzebarrow::consensus {
 namespace {
 
@@ -29,6 +65,11 @@
   CPPUNIT_TEST(StoresBatchOnceAFullDiskHasSpace);
   CPPUNIT_TEST(StoresSnapshotOnceAFullDiskHasSpace);
   CPPUNIT_TEST(OpensWithoutWritingToAFullDisk);
+  CPPUNIT_TEST(IgnoresSnapshotThatContradictsTheLog);
+  CPPUNIT_TEST(GenerationsNeverRepeat);
+  CPPUNIT_TEST(UnreadableLogIsNotATornLog);
+  CPPUNIT_TEST(UnlistedFolderIsNotAnEmptyFolder);
+  CPPUNIT_TEST(FailedWritesFreeTheirSpace);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -204,6 +245,80 @@
                          store->recovered().m_id.m_generation);
   }
 
+  // Guards against a restart, between the snapshot and the log of a batch, that
+  // treats entries of another leader as committed.
+  void IgnoresSnapshotThatContradictsTheLog() {
+    InitializeFolder();
+    {
+      StorePtr store = Open();
+      Write(*store, 1, 6);
+      DurableBatchOut batch = SnapshotBatch();
+      auto of_later_term =
+          std::make_shared<wire::SnapshotFileT>(*batch.m_snapshot);
+      of_later_term->last_term = 8;
+      batch.m_snapshot = of_later_term;
+      const std::string log = LogPath();
+      std::filesystem::copy_file(log, Folder() + "/kept");
+      CPPUNIT_ASSERT(store->Write(batch));
+      std::filesystem::remove(LogPath());
+      std::filesystem::rename(Folder() + "/kept", log);
+    }
+    const StorePtr store = Open();
+    const DurableState& state = store->recovered().m_state;
+    CPPUNIT_ASSERT(state.m_snapshot == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, state.m_entries.size());
+  }
+
+  // Guards against a lost disk whose votes the next generation contradicts,
+  // because the wall clock was stepped back in between.
+  void GenerationsNeverRepeat() {
+    constexpr int kLosses = 50;
+    const StoppedWallClock stopped;
+    std::set<std::uint64_t> generations = {0, 1};
+    for (int i = 0; i < kLosses; ++i) {
+      generations.insert(Open()->recovered().m_id.m_generation);
+      std::filesystem::remove_all(Folder());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kLosses + 2}, generations.size());
+  }
+
+  // Guards against a read error that is taken for the end of the log. Reading
+  // a folder as a file fails.
+  void UnreadableLogIsNotATornLog() {
+    InitializeFolder();
+    std::filesystem::create_directory(Folder() + "/log-00000000000000000002");
+    AssertFailure(ErrorCode::kDataFolderUnusable, TryOpen("a"));
+  }
+
+  // Guards against fresh files over intact ones that could not be listed.
+  void UnlistedFolderIsNotAnEmptyFolder() {
+    InitializeFolder();
+    Write(*Open(), 1, 3);
+    g_listing_fails = true;
+    const auto opened = TryOpen("a");
+    g_listing_fails = false;
+    AssertFailure(ErrorCode::kDataFolderUnusable, opened);
+    const StorePtr store = Open();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         store->recovered().m_id.m_generation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         store->recovered().m_state.m_entries.size());
+  }
+
+  // Guards against a full disk that repeated attempts fill up further.
+  void FailedWritesFreeTheirSpace() {
+    InitializeFolder();
+    const StorePtr store = Open();
+    Write(*store, 1, 5);
+    for (const std::uint64_t space : {50, 300, 300}) {
+      const FullDisk full(space);
+      CPPUNIT_ASSERT(!Captured([&] { return store->Write(SnapshotBatch()); }));
+    }
+    for (const auto& item : std::filesystem::directory_iterator(Folder())) {
+      CPPUNIT_ASSERT_MESSAGE(item.path(), item.path().extension() != ".tmp");
+    }
+  }
+
  private:
   /** Lets files grow to `bytes` only, like a disk without space. */
   class FullDisk {
@@ -223,6 +338,14 @@
     rlimit m_before{};
   };
 
+  class StoppedWallClock {
+   public:
+    StoppedWallClock() { g_wall_clock_stopped = true; }
+    StoppedWallClock(const StoppedWallClock&) = delete;
+    StoppedWallClock& operator=(const StoppedWallClock&) = delete;
+    ~StoppedWallClock() { g_wall_clock_stopped = false; }
+  };
+
   /** @return whether the operation succeeded. */
   template <typename Operation>
   static bool Captured(Operation operation) {
