Reserve runners only where a long-running task can fit

Callers would see an accepted job wait while runners of its pool were idle.

A long-running task that fits nowhere reserves the runner with the most free CPU, so that its capacity grows as other tasks end. The choice only compared the task with the runner's total capacity. On a runner whose other long-running tasks leave too little, mostly memory, the task never fits: the runner stays reserved and gets no work. Each waiting job with a limit per runner reserves one more, until none of the pool is left.

The planner now knows what is free once all tasks that end on their own have ended, and reserves a runner only if the task fits into that.

Evidence: LongRunningTaskThatFitsNowhereKeepsNoRunnerIdle failed before with "assertion failed - Expression: runs.contains({5, 0, 0, 0})".

Ruled out: steps without a limit per runner did not add reservations, because a need that was found not to fit is skipped.

--- a/include/bronzebarrow/jobs/runner.h
+++ b/include/bronzebarrow/jobs/runner.h
@@ -41,11 +41,13 @@
   std::map<TaskKey, std::uint32_t> m_assigned;
   Resources m_used;                // Sum of the resources of m_assigned.
   std::size_t m_long_running = 0;  // Long-running tasks among m_assigned.
-  std::int64_t m_long_running_milli = 0;  // CPU of these, as in m_used.
+  Resources m_long_running_used;   // Sum of the resources of these.
 
   /** @return whether a task that ends on its own is assigned. */
   bool HasFiniteTasks() const { return m_assigned.size() > m_long_running; }
 
+  /** @return the registered resources. */
+  Resources TotalResources() const;
   /** @return the registered resources minus those of m_assigned. */
   Resources FreeResources() const;
 };
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -21,6 +21,8 @@
 struct Candidate {
   const jobs::Runner* m_runner = nullptr;
   jobs::Resources m_free;
+  // What is free once all tasks that end on their own have ended.
+  jobs::Resources m_free_without_finite;
   bool m_goes_down_soon = false;    // Its machine goes down soon for upkeep.
   std::int64_t m_long_running = 0;  // Long-running tasks on it.
   std::string_view m_rack;
--- a/src/jobs/runner.cc
+++ b/src/jobs/runner.cc
@@ -11,8 +11,12 @@
   return {step.fills ? 0 : step.cpu_milli, step.memory_mb, step.gpu};
 }
 
+Resources Runner::TotalResources() const {
+  return {m_record.cpu_milli, m_record.memory_mb, m_record.gpu};
+}
+
 Resources Runner::FreeResources() const {
-  Resources free = {m_record.cpu_milli, m_record.memory_mb, m_record.gpu};
+  Resources free = TotalResources();
   free.Add(m_used, -1);
   return free;
 }
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -405,7 +405,7 @@
   runner.m_used.Add(ResourcesOf(step), 1);
   if (step.lasting) {
     ++runner.m_long_running;
-    runner.m_long_running_milli += ResourcesOf(step).m_cpu_milli;
+    runner.m_long_running_used.Add(ResourcesOf(step), 1);
   }
 }
 
@@ -420,7 +420,7 @@
     assignee->second.m_used.Add(ResourcesOf(*step), -1);
     if (step->lasting) {
       --assignee->second.m_long_running;
-      assignee->second.m_long_running_milli -= ResourcesOf(*step).m_cpu_milli;
+      assignee->second.m_long_running_used.Add(ResourcesOf(*step), -1);
     }
   }
 }
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -468,7 +468,7 @@
     ++load->second.m_machines;
     load->second.m_machine_milli = runner.m_record.cpu_milli;
     load->second.m_used_milli += runner.m_used.m_cpu_milli;
-    load->second.m_long_running_milli += runner.m_long_running_milli;
+    load->second.m_long_running_milli += runner.m_long_running_used.m_cpu_milli;
     if (is_usable && runner.m_long_running == 0 &&
         !runner.m_record.machine.empty() &&
         !m_operations.contains(runner.m_record.machine) &&
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -115,8 +115,10 @@
       const bool goes_down_soon =
           m_input.m_goes_down_soon &&
           m_input.m_goes_down_soon(runner->m_record.machine);
+      jobs::Resources free_without_finite = runner->TotalResources();
+      free_without_finite.Add(runner->m_long_running_used, -1);
       pool.m_candidates.push_back(
-          {runner, free, goes_down_soon,
+          {runner, free, free_without_finite, goes_down_soon,
            static_cast<std::int64_t>(runner->m_long_running), RackOf(*runner)});
     }
   }
@@ -173,14 +175,17 @@
           pool.m_unplaceable_needs.push_back(need);
         }
         if (spec.gang) {
-          ReleaseCapacity(chosen, need);
+          ReleaseCapacity(chosen, spec, need);
           return;
         }
         break;
       }
       const std::uint32_t run = spec.gang ? gang_run : task.m_run + 1;
       best->m_free.Add(need, -1);
-      best->m_long_running += spec.lasting ? 1 : 0;
+      if (spec.lasting) {
+        best->m_free_without_finite.Add(need, -1);
+        ++best->m_long_running;
+      }
       ++best->m_step_tasks;
       if (spec.same_rack) {
         ++tasks_on_rack[best->m_rack];
@@ -202,9 +207,13 @@
 
   static void ReleaseCapacity(
       const std::vector<std::pair<Candidate*, jobs::RunKey>>& chosen,
-      const jobs::Resources& need) {
+      const wire::StepSpecT& spec, const jobs::Resources& need) {
     for (const auto& [candidate, run] : chosen) {
       candidate->m_free.Add(need, 1);
+      if (spec.lasting) {
+        candidate->m_free_without_finite.Add(need, 1);
+        --candidate->m_long_running;
+      }
     }
   }
 
@@ -266,17 +275,17 @@
   // Keeps a runner free of new tasks during this pass for a long-running task
   // that does not fit yet: in a backlog of small tasks no runner would ever
   // have enough free capacity for a large one. Takes the runner with the most
-  // free CPU, which has more of it with each pass until the task fits.
+  // free CPU, which has more of it with each pass until the task fits. A runner
+  // whose long-running tasks leave too little is of no use: it would stay
+  // reserved for good.
   static void ReserveRunner(const wire::StepSpecT& spec,
                             const jobs::Resources& need,
                             std::vector<Candidate>& candidates) {
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
-      const wire::RunnerRecordT& record = candidate.m_runner->m_record;
-      const jobs::Resources total = {record.cpu_milli, record.memory_mb,
-                                     record.gpu};
       if (candidate.m_reserved || candidate.m_goes_down_soon ||
-          !total.Fits(need) || !MeetsConstraints(spec, candidate)) {
+          !candidate.m_free_without_finite.Fits(need) ||
+          !MeetsConstraints(spec, candidate)) {
         continue;
       }
       if (best == nullptr ||
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(PlanStaysWithinRunnerCapacity);
   CPPUNIT_TEST(GangsArePlacedAllOrNothing);
   CPPUNIT_TEST(LongRunningTasksAreNotStarvedByShortTasks);
+  CPPUNIT_TEST(LongRunningTaskThatFitsNowhereKeepsNoRunnerIdle);
   CPPUNIT_TEST(PoolsKeepTheMachinesThatOneStepNeeds);
   CPPUNIT_TEST(StepsWaitForTheirDependencies);
   CPPUNIT_TEST(PoolShortOfCapacityTakesIdleThenParkedThenBusyMachines);
@@ -59,7 +60,7 @@
       runner.runner->pool = "pool";
       runner.runner->labels = {"a", "rack" + std::to_string(i / 2)};
       runner.runner->cpu_milli = kMachineMilli;
-      runner.runner->memory_mb = 64'000;
+      runner.runner->memory_mb = kMachineMemoryMb;
       Apply(std::move(runner), kNowMs);
     }
   }
@@ -157,6 +158,23 @@
     CPPUNIT_ASSERT_EQUAL(jobs::JobId{2}, runs.begin()->first.m_job);
   }
 
+  // Guards against reserving runners whose long-running tasks leave too little
+  // memory for the waiting task: with one reserved for each waiting job, no
+  // runner of the pool gets any work.
+  void LongRunningTaskThatFitsNowhereKeepsNoRunnerIdle() {
+    FillMemoryWithLongRunningTasks(1'000);
+    for (jobs::JobId id = 2; id <= 4; ++id) {
+      auto large = MakeLongRunningStep(kMachineMemoryMb);
+      large->max_per_runner = 1;
+      Submit(id, std::move(large), kNowMs);
+    }
+    Submit(5, MakeLongRunningStep(100), kNowMs);
+    Submit(6, MakeStep(1), kNowMs);
+    const auto runs = PlanNow();
+    CPPUNIT_ASSERT(runs.contains({5, 0, 0, 0}));
+    CPPUNIT_ASSERT(runs.contains({6, 0, 0, 0}));
+  }
+
   // Load pattern: 24 long-running tasks, one per machine, in a pool that gave
   // its machines away between demand peaks. A task whose run ended then found
   // no machine without another task of its step.
@@ -319,6 +337,7 @@
 
  private:
   static constexpr std::int64_t kTaskMilli = 1'000;
+  static constexpr std::int64_t kMachineMemoryMb = 64'000;
 
   static PoolLoad MakeLoad(const std::string& name, std::int64_t machines,
                            std::int64_t used, std::int64_t ready) {
@@ -340,6 +359,25 @@
     return step;
   }
 
+  static std::unique_ptr<wire::StepSpecT> MakeLongRunningStep(
+      std::int64_t memory_mb) {
+    auto step = MakeStep(1);
+    step->lasting = true;
+    step->memory_mb = static_cast<std::uint32_t>(memory_mb);
+    return step;
+  }
+
+  // Assigns one long-running task with this much memory to each runner.
+  void FillMemoryWithLongRunningTasks(std::int64_t memory_mb) {
+    auto step = MakeLongRunningStep(memory_mb);
+    step->count = 3;
+    step->max_per_runner = 1;
+    Submit(1, std::move(step), kNowMs);
+    const auto runs = PlanNow();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, runs.size());
+    Assign(runs);
+  }
+
   template <typename Command>
   void Apply(Command command, std::uint64_t time_ms) {
     wire::WorkCommandT wrapped;
