Let long-running tasks start on runners reserved for others

Callers would see a long-running task wait although a runner has room for it several times over.

A runner reserved for a long-running task that does not fit yet was closed to all other tasks, including long-running ones that fit. They waited until the first one was placed, for as long as the tasks on that runner last.

The reservation keeps the runner free of tasks that end on their own, because their backlog would take all capacity as soon as it is free. Long-running tasks have no such backlog: one that fits now starts, on a runner without a reservation if there is one.

Evidence: LongRunningTaskStartsOnRunnerReservedForAnother failed before with "assertion failed - Expression: PlanNow().contains({5, 0, 0, 0})"; LongRunningTasksAreNotStarvedByShortTasks still passes.

--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -220,25 +220,26 @@
   // Returns the candidate with the lowest score. Preferred are, in this order,
   // the data's rack, the rack with the most tasks of the step and, if the task
   // has failed before, another runner than that of its last run. Long-running
-  // tasks avoid machines that go down soon, then machines with tasks of the
-  // same step, and are otherwise packed on the machines with the most
-  // long-running tasks, so that the remaining machines can change their pool.
-  // Ties go to the fullest runner that fits, so that other runners become idle
-  // and can leave the pool.
+  // tasks avoid machines that go down soon, then runners reserved for another
+  // one, then machines with tasks of the same step, and are otherwise packed on
+  // the machines with the most long-running tasks, so that the remaining
+  // machines can change their pool. Ties go to the fullest runner that fits, so
+  // that other runners become idle and can leave the pool.
   Candidate* FindBestCandidate(
       const RankedJob& ranked, const jobs::TaskKey& key,
       const wire::StepSpecT& spec, const jobs::Task& task,
       const jobs::Resources& need,
       const std::map<std::string_view, std::uint32_t>& tasks_on_rack,
       std::vector<Candidate>& candidates) {
-    using Score = std::tuple<bool, std::int64_t, bool, bool, std::uint32_t,
-                             std::int64_t, std::int64_t>;
+    using Score = std::tuple<bool, std::int64_t, bool, bool, bool,
+                             std::uint32_t, std::int64_t, std::int64_t>;
     Candidate* best = nullptr;
     Score best_score;
     for (Candidate& candidate : candidates) {
       const jobs::Runner& runner = *candidate.m_runner;
       const std::string& id = runner.m_record.id;
-      if (candidate.m_reserved || !candidate.m_free.Fits(need) ||
+      const bool is_kept_free = candidate.m_reserved && !spec.lasting;
+      if (is_kept_free || !candidate.m_free.Fits(need) ||
           !MeetsConstraints(spec, candidate)) {
         continue;
       }
@@ -261,6 +262,7 @@
                            rack_score,
                            task.m_failures > 0 && task.m_runner == id,
                            is_long_running && candidate.m_goes_down_soon,
+                           candidate.m_reserved,
                            is_long_running ? candidate.m_step_tasks : 0,
                            is_long_running ? -candidate.m_long_running : 0,
                            candidate.m_free.m_cpu_milli};
@@ -272,12 +274,12 @@
     return best;
   }
 
-  // Keeps a runner free of new tasks during this pass for a long-running task
-  // that does not fit yet: in a backlog of small tasks no runner would ever
-  // have enough free capacity for a large one. Takes the runner with the most
-  // free CPU, which has more of it with each pass until the task fits. A runner
-  // whose long-running tasks leave too little is of no use: it would stay
-  // reserved for good.
+  // Keeps a runner free of new tasks that end on their own during this pass for
+  // a long-running task that does not fit yet: in a backlog of small tasks no
+  // runner would ever have enough free capacity for a large one. Takes the
+  // runner with the most free CPU, which has more of it with each pass until
+  // the task fits. A runner whose long-running tasks leave too little is of no
+  // use: it would stay reserved for good.
   static void ReserveRunner(const wire::StepSpecT& spec,
                             const jobs::Resources& need,
                             std::vector<Candidate>& candidates) {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(GangsArePlacedAllOrNothing);
   CPPUNIT_TEST(LongRunningTasksAreNotStarvedByShortTasks);
   CPPUNIT_TEST(LongRunningTaskThatFitsNowhereKeepsNoRunnerIdle);
+  CPPUNIT_TEST(LongRunningTaskStartsOnRunnerReservedForAnother);
   CPPUNIT_TEST(PoolsKeepTheMachinesThatOneStepNeeds);
   CPPUNIT_TEST(StepsWaitForTheirDependencies);
   CPPUNIT_TEST(PoolShortOfCapacityTakesIdleThenParkedThenBusyMachines);
@@ -175,6 +176,20 @@
     CPPUNIT_ASSERT(runs.contains({6, 0, 0, 0}));
   }
 
+  // Guards against a long-running task that waits although a runner has room
+  // for it, because the room is kept for a task that does not fit yet.
+  void LongRunningTaskStartsOnRunnerReservedForAnother() {
+    Submit(1, MakeStep(3 * kMachineMilli / kTaskMilli - 3), kNowMs);
+    Assign(PlanNow());
+    for (jobs::JobId id = 2; id <= 4; ++id) {
+      auto wide = MakeLongRunningStep(100);
+      wide->cpu_milli = 4 * kTaskMilli;
+      Submit(id, std::move(wide), kNowMs);
+    }
+    Submit(5, MakeLongRunningStep(100), kNowMs);
+    CPPUNIT_ASSERT(PlanNow().contains({5, 0, 0, 0}));
+  }
+
   // Load pattern: 24 long-running tasks, one per machine, in a pool that gave
   // its machines away between demand peaks. A task whose run ended then found
   // no machine without another task of its step.
