Count attempts only against a queue that is configured

Callers would see a job as failed after one failed run although its queue allows more.

When a run ended as failed while the configuration in force did not hold the job's queue, the limit of attempts was taken as one. A configuration that drops a route and one that brings it back later are enough.

Without its queue a job cannot start, so nothing forces a decision: the failure is counted and the job stays active. A configuration with the queue decides, and ends the jobs whose tasks have no attempt left, so no further run of theirs starts.

Evidence: FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob failed before with "assertion failed - Expression: Phase(1) == wire::JobPhase::Running".

--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -3,6 +3,7 @@
 #define BRONZEBARROW_JOBS_JOB_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -90,6 +91,8 @@
   bool IsStepReady(const Occurrence& occurrence, std::size_t number) const;
   /** @return whether a waiting task belongs to a ready step. */
   bool HasStartableTask() const;
+  /** @return whether a waiting task meets the condition. */
+  bool HasWaitingTask(const std::function<bool(const Task&)>& condition) const;
   /** Creates the next occurrence, with all its tasks waiting. */
   void OpenOccurrence();
 };
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -120,6 +120,11 @@
   // stopped run and a long-running task need no update.
   void ApplyRunEnd(Job& job, const TaskKey& key, wire::EndKind how,
                    ApplyResult& applied);
+  // Whether the task may not run again. False while the configuration lacks the
+  // job's queue: its limit of attempts is unknown then.
+  bool HasUsedAllAttempts(const Job& job, const Task& task) const;
+  // Ends the jobs whose tasks may not run again under a new configuration.
+  void EndJobsWithoutAttempts(ApplyResult& applied);
   // Completes all tasks of a gang step: the gang is done as soon as one member
   // reports it done.
   void CompleteGang(Job& job, const TaskKey& key, ApplyResult& applied);
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -104,6 +104,21 @@
   return false;
 }
 
+bool Job::HasWaitingTask(
+    const std::function<bool(const Task&)>& condition) const {
+  for (const auto& [number, occurrence] : m_occurrences) {
+    for (const StepState& step : occurrence.m_steps) {
+      if (std::any_of(
+              step.m_tasks.begin(), step.m_tasks.end(), [&](const Task& task) {
+                return task.m_state == TaskState::kWaiting && condition(task);
+              })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void Job::OpenOccurrence() {
   Occurrence& occurrence = m_occurrences[m_opened++];
   for (const auto& spec : m_spec.steps) {
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -182,6 +182,7 @@
     return;
   }
   m_queues = QueueTable(*config);
+  EndJobsWithoutAttempts(applied);
   applied.m_changed = true;
 }
 
@@ -343,14 +344,30 @@
   } else {
     ++task.m_failures;
   }
-  const wire::QueueSpecT* const queue = m_queues.Find(job.m_queue);
-  const std::uint32_t attempts =
-      queue == nullptr ? 1 : std::max(queue->attempts, 1U);
-  if (task.m_failures >= attempts) {
+  if (HasUsedAllAttempts(job, task)) {
     EndJob(job, JobState::kFailed, applied);
   }
 }
 
+bool WorkState::HasUsedAllAttempts(const Job& job, const Task& task) const {
+  const wire::QueueSpecT* const queue = m_queues.Find(job.m_queue);
+  return queue != nullptr && task.m_failures >= std::max(queue->attempts, 1U);
+}
+
+void WorkState::EndJobsWithoutAttempts(ApplyResult& applied) {
+  std::vector<JobId> failed;
+  for (const auto& entry : m_startable) {
+    const Job& job = *entry.second;
+    if (job.HasWaitingTask(
+            [&](const Task& task) { return HasUsedAllAttempts(job, task); })) {
+      failed.push_back(job.m_id);
+    }
+  }
+  for (const JobId id : failed) {
+    EndJob(m_jobs.at(id), JobState::kFailed, applied);
+  }
+}
+
 void WorkState::CompleteGang(Job& job, const TaskKey& key,
                              ApplyResult& applied) {
   StepState& step = job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step];
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(WorkStateTest);
   CPPUNIT_TEST(JobRunsStepsInDependencyOrder);
   CPPUNIT_TEST(JobFailsAfterLastAttempt);
+  CPPUNIT_TEST(FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob);
   CPPUNIT_TEST(EndOfOlderRunIsIgnored);
   CPPUNIT_TEST(NewRunnerIncarnationLosesAssignedRuns);
   CPPUNIT_TEST(ConfigWithoutHigherVersionIsIgnored);
@@ -65,6 +66,28 @@
     CPPUNIT_ASSERT(AssignRuns("r", {MakeRun(1, 0, 0, 3)}).m_assigned.empty());
   }
 
+  // Guards against a job that fails after fewer runs than its queue allows: a
+  // configuration without the queue says nothing about its attempts.
+  void FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob() {
+    AcceptJob(1, {2});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1)});
+    wire::PutConfigT without;
+    without.config = MakeConfig(4);
+    without.config->queues.clear();
+    Apply(std::move(without));
+    RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Failed, 1);
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    // The last attempt that the queue allows ends while the queue is absent.
+    AssignRuns("r", {MakeRun(1, 0, 0, 2)});
+    RecordEnd("r", MakeRun(1, 0, 0, 2), wire::EndKind::Failed, 2);
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    wire::PutConfigT with;
+    with.config = MakeConfig(5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Apply(std::move(with)).m_jobs_ended.size());
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
+  }
+
   void EndOfOlderRunIsIgnored() {
     AcceptJob(1, {1});
     AssignRuns("r", {MakeRun(1, 0, 0, 1)});
