Keep the jobs of a queue that gets another name

Callers would get 410 for an accepted job, and the job would never start, after a configuration that names its queue differently.

Jobs refer to their queue by name, callers by host and path. When a configuration gave the same address another name, a read compared the two names and reported the job as missing; placement found no queue of the old name and left the job out.

A configuration now moves the active jobs of a renamed queue to the name that its address has. A read needs no comparison of names: ids are unique over all queues, and submission and cancellation do not compare either.

Not covered: a queue that is removed and added under another name by a later version. Its jobs are found and keep waiting for their old name.

Evidence: JobIsFoundAfterItsQueueWasRenamed failed before with "assertion failed - Expression: Read().outcome == wire::CallOutcome::Found".

--- a/include/bronzebarrow/jobs/queue_table.h
+++ b/include/bronzebarrow/jobs/queue_table.h
@@ -34,6 +34,9 @@
   const wire::QueueSpecT* Route(std::string_view host,
                                 std::string_view path) const;
   const wire::QueueSpecT* Find(const std::string& name) const;
+  /** @return the queue with exactly this host and path prefix, or null. */
+  const wire::QueueSpecT* FindAt(std::string_view host,
+                                 const std::string& path_prefix) const;
   const wire::PoolSpecT* FindPool(const std::string& name) const;
 
  private:
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -120,6 +120,9 @@
   // stopped run and a long-running task need no update.
   void ApplyRunEnd(Job& job, const TaskKey& key, wire::EndKind how,
                    ApplyResult& applied);
+  // Moves the active jobs of queues that have another name than in `previous`,
+  // at the same host and prefix, to the new name.
+  void RenameQueues(const QueueTable& previous);
   // Whether the task may not run again. False while the configuration lacks the
   // job's queue: its limit of attempts is unknown then.
   bool HasUsedAllAttempts(const Job& job, const Task& task) const;
--- a/src/jobs/queue_table.cc
+++ b/src/jobs/queue_table.cc
@@ -85,6 +85,16 @@
   return queue == m_queues_by_name.end() ? nullptr : queue->second;
 }
 
+const wire::QueueSpecT* QueueTable::FindAt(
+    std::string_view host, const std::string& path_prefix) const {
+  const auto queues = m_queues_by_host.find(NormalizeHost(host));
+  if (queues == m_queues_by_host.end()) {
+    return nullptr;
+  }
+  const auto queue = queues->second.find(path_prefix);
+  return queue == queues->second.end() ? nullptr : queue->second;
+}
+
 const wire::PoolSpecT* QueueTable::FindPool(const std::string& name) const {
   const auto pool = m_pools_by_name.find(name);
   return pool == m_pools_by_name.end() ? nullptr : pool->second;
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -181,11 +181,30 @@
   if (!config || config->version <= m_queues.version()) {
     return;
   }
-  m_queues = QueueTable(*config);
+  QueueTable previous = std::exchange(m_queues, QueueTable(*config));
+  RenameQueues(previous);
   EndJobsWithoutAttempts(applied);
   applied.m_changed = true;
 }
 
+void WorkState::RenameQueues(const QueueTable& previous) {
+  for (const auto& queue : previous.config().queues) {
+    const wire::QueueSpecT* const renamed =
+        m_queues.FindAt(queue->host, queue->path_prefix);
+    if (m_queues.Find(queue->name) != nullptr || renamed == nullptr) {
+      continue;
+    }
+    for (const auto& [number, id] : m_active) {
+      Job& job = m_jobs.at(id);
+      if (job.m_queue == queue->name) {
+        job.m_queue = renamed->name;
+      }
+    }
+    m_unstarted[renamed->name] += m_unstarted[queue->name];
+    m_unstarted.erase(queue->name);
+  }
+}
+
 void WorkState::AcceptJob(const wire::WorkBodyUnion& body,
                           ApplyResult& applied) {
   const wire::AcceptJobT& accept = *body.AsAcceptJob();
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -177,7 +177,7 @@
   const jobs::Job* const job = id ? m_state.FindJob(*id) : nullptr;
   if (job == nullptr && id && m_pending_submits.contains(*id)) {
     Reply(source, call_id, wire::CallOutcome::NotRun, "being accepted");
-  } else if (job == nullptr || job->m_queue != queue->name) {
+  } else if (job == nullptr) {
     Reply(source, call_id, wire::CallOutcome::Missing);
   } else {
     Reply(source, call_id, wire::CallOutcome::Found);
