Count the retention of ended jobs on the monotonic clock

Callers would get 410 for a job that ended less than two minutes ago.

The leader compared its wall clock with the end time that was recorded from the wall clock of the leader at that time. A clock that jumps ahead, or a new leader whose clock is ahead, by more than the 30 s of margin removed a job too early; after a jump back, ended jobs were kept until the clock had caught up.

After a restart retention starts anew, so a job is never removed early.

Evidence: EndedJobIsFoundAfterTheWallClockJumped (45 s ahead) failed before with "assertion failed - Expression: Read().outcome == wire::CallOutcome::Found", EndedJobIsForgottenInTheEnd (600 s back) with "assertion failed - Expression: Read().outcome == wire::CallOutcome::Missing".

--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -5,6 +5,7 @@
 #define BRONZEBARROW_NODE_WORK_CORE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -169,6 +170,8 @@
   void TakeDispatcherCommands();
   void PlanAssignments();
   void OpenDueOccurrences();
+  bool IsEndedJob(jobs::JobId id) const;
+  void RecordEndedJob(jobs::JobId id);
   void PurgeEndedJobs();
   void ProposeCommands();
   void LogSummary();
@@ -188,6 +191,10 @@
   std::uint64_t m_last_compacted = 0;
   std::uint64_t m_last_term = 0;
   consensus::Role m_last_role = consensus::Role::kLearner;
+  // Jobs that have ended, with the time at which this member applied the end or
+  // the snapshot that holds it; the earliest first. Retention counts from then:
+  // wall clocks jump and differ between members. May hold forgotten jobs.
+  std::deque<std::pair<Instant, jobs::JobId>> m_ended_jobs;
 
   // Used by the leader only; reset when the leadership ends.
   std::optional<std::uint64_t> m_ownership_token;
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -290,6 +290,12 @@
   if (const consensus::SnapshotPtr snapshot =
           m_replica.TakeInstalledSnapshot()) {
     BRONZEBARROW_INVARIANT(m_state.Load(snapshot->data));
+    m_ended_jobs.clear();
+    for (const auto& [id, job] : m_state.jobs()) {
+      if (job.m_state != jobs::JobState::kActive) {
+        m_ended_jobs.emplace_back(m_moment.m_now, id);
+      }
+    }
     m_applied_index = snapshot->last_index;
     m_last_compacted = snapshot->last_index;
     EventLine(Event::kSnapshotInstalled).Field("index", m_applied_index);
@@ -316,6 +322,9 @@
   for (const auto& command : batch->commands) {
     const jobs::ApplyResult applied = m_state.Apply(*command, entry.index);
     m_machine_planner.OnApplied(applied, m_moment.m_now);
+    for (const jobs::JobId id : applied.m_jobs_ended) {
+      RecordEndedJob(id);
+    }
     if (!is_own_entry) {
       continue;
     }
@@ -445,14 +454,25 @@
   }
 }
 
+bool WorkCore::IsEndedJob(jobs::JobId id) const {
+  const jobs::Job* const job = m_state.FindJob(id);
+  return job != nullptr && job->m_state != jobs::JobState::kActive;
+}
+
+void WorkCore::RecordEndedJob(jobs::JobId id) {
+  while (!m_ended_jobs.empty() && !IsEndedJob(m_ended_jobs.front().second)) {
+    m_ended_jobs.pop_front();
+  }
+  m_ended_jobs.emplace_back(m_moment.m_now, id);
+}
+
 void WorkCore::PurgeEndedJobs() {
-  const auto retention_ms = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<Millis>(m_options.m_ended_job_retention)
-          .count());
   wire::ForgetJobsT forget;
-  for (const auto& [id, job] : m_state.jobs()) {
-    if (job.m_state != jobs::JobState::kActive &&
-        job.m_ended_ms + retention_ms < m_moment.m_wall_ms) {
+  for (const auto& [applied_at, id] : m_ended_jobs) {
+    if (m_moment.m_now < applied_at + m_options.m_ended_job_retention) {
+      break;
+    }
+    if (IsEndedJob(id)) {
       forget.jobs.push_back(id);
     }
   }
--- a/tests/work_calls_test.cc
+++ b/tests/work_calls_test.cc
@@ -16,10 +16,14 @@
 constexpr jobs::JobId kJob = 7;
 constexpr const char* kHost = "q.example";
 constexpr const char* kPrefix = "/q/";
+// How long callers may read a job after its end.
+constexpr Duration kReadableAfterEnd = Millis(120'000);
 
 class WorkCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkCallsTest);
   CPPUNIT_TEST(JobIsFoundAfterItsQueueWasRenamed);
+  CPPUNIT_TEST(EndedJobIsFoundAfterTheWallClockJumped);
+  CPPUNIT_TEST(EndedJobIsForgottenInTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +53,25 @@
                        m_core->state().FindJob(kJob)->m_queue) != nullptr);
   }
 
+  // Guards against retention by wall clock times of different readings: a jump
+  // ahead by less than a minute removed a job that had just ended.
+  void EndedJobIsFoundAfterTheWallClockJumped() {
+    Submit();
+    Cancel();
+    m_moment.m_wall_ms += 45'000;
+    Advance(kReadableAfterEnd);
+    CPPUNIT_ASSERT(Read().outcome == wire::CallOutcome::Found);
+  }
+
+  void EndedJobIsForgottenInTheEnd() {
+    Submit();
+    Cancel();
+    m_moment.m_wall_ms -= 600'000;
+    Advance(2 * kReadableAfterEnd);
+    CPPUNIT_ASSERT(Read().outcome == wire::CallOutcome::Missing);
+    CPPUNIT_ASSERT(m_core->state().jobs().empty());
+  }
+
  private:
   static std::string Path() { return kPrefix + jobs::JobIdText(kJob); }
 
@@ -115,6 +138,14 @@
                    wire::CallOutcome::Accepted);
   }
 
+  void Cancel() {
+    wire::CancelCallT cancel;
+    cancel.host = kHost;
+    cancel.path = Path();
+    CPPUNIT_ASSERT(Call(std::move(cancel)).outcome ==
+                   wire::CallOutcome::Accepted);
+  }
+
   wire::CallReplyT Read() {
     wire::ReadJobCallT read;
     read.host = kHost;
