Do not send a ticket to a later incarnation of its runner

Callers would see a task wait while its pool has room: its starts are rejected for want of a ticket until the old ticket runs out.

A ticket is valid during one life of its runner. The cache kept tickets by runner id, so a runner that restarted under its id was given starts with the ticket of its earlier life. Each was rejected and planned again with the same ticket; an empty runner is the first choice of steps that spread over machines. A refusal of the earlier life was kept in the same way.

Answers are now kept with the incarnation that was registered when the call was made, and used for that one only.

Evidence: TicketOfAnEarlierIncarnationIsNotUsed failed before with "assertion failed - Expression: !m_cache->TicketFor(StepOf(1), "r")". Ruled out: FailedCallIsRepeated and TicketIsReusedWhileItIsValid passed before.

--- a/include/bronzebarrow/node/advice_book.h
+++ b/include/bronzebarrow/node/advice_book.h
@@ -44,10 +44,16 @@
   void Clear();
 
  private:
+  /** The adviser's answer for one incarnation of a runner. */
+  struct RunnerAdvice {
+    std::uint64_t m_born_ms = 0;
+    std::optional<std::string> m_ticket;  // Empty: may not run the step.
+  };
   struct StepAdvice {
-    std::set<std::string> m_next_runners;          // Named in the next call.
-    std::set<std::string> m_covered_runners;       // Named in earlier calls.
-    std::map<std::string, std::string> m_tickets;  // By runner.
+    std::set<std::string> m_next_runners;  // Named in the next call.
+    // Named in the call in flight, with their incarnations.
+    std::map<std::string, std::uint64_t> m_called_runners;
+    std::map<std::string, RunnerAdvice> m_answers;  // By runner.
     Instant m_valid_until;
     bool m_call_in_flight = false;
   };
--- a/src/node/advice_book.cc
+++ b/src/node/advice_book.cc
@@ -21,15 +21,15 @@
 
 std::optional<std::string> AdviceCache::TicketFor(const jobs::TaskKey& step,
                                                   const std::string& runner) {
+  const jobs::Runner* const registered = m_state.FindRunner(runner);
+  if (registered == nullptr) {
+    return std::nullopt;
+  }
   StepAdvice& advice = m_advice_by_step[StepOf(step)];
-  if (m_now < advice.m_valid_until) {
-    const auto ticket = advice.m_tickets.find(runner);
-    if (ticket != advice.m_tickets.end()) {
-      return ticket->second;
-    }
-    if (advice.m_covered_runners.contains(runner)) {
-      return std::nullopt;
-    }
+  const auto answer = advice.m_answers.find(runner);
+  if (m_now < advice.m_valid_until && answer != advice.m_answers.end() &&
+      answer->second.m_born_ms == registered->m_record.born_ms) {
+    return answer->second.m_ticket;
   }
   if (!advice.m_call_in_flight &&
       advice.m_next_runners.size() < kMaxRunnersPerCall) {
@@ -57,6 +57,12 @@
       request.m_job_name = job->m_spec.id;
       request.m_runners.assign(advice->second.m_next_runners.begin(),
                                advice->second.m_next_runners.end());
+      advice->second.m_called_runners.clear();
+      for (const std::string& id : request.m_runners) {
+        if (const jobs::Runner* const runner = m_state.FindRunner(id)) {
+          advice->second.m_called_runners[id] = runner->m_record.born_ms;
+        }
+      }
       advice->second.m_call_in_flight = true;
       ++m_calls_in_flight;
       requests.push_back(std::move(request));
@@ -83,13 +89,16 @@
     return;
   }
   if (now >= advice.m_valid_until) {
-    advice.m_tickets.clear();
-    advice.m_covered_runners.clear();
+    advice.m_answers.clear();
     advice.m_valid_until = now + std::max(valid - kTicketMargin, valid / 2);
   }
-  advice.m_covered_runners.insert(request.m_runners.begin(),
-                                  request.m_runners.end());
-  advice.m_tickets.insert(tickets->begin(), tickets->end());
+  for (const auto& [runner, born_ms] : advice.m_called_runners) {
+    const auto ticket = tickets->find(runner);
+    advice.m_answers[runner] = {born_ms, ticket == tickets->end()
+                                             ? std::nullopt
+                                             : std::optional(ticket->second)};
+  }
+  advice.m_called_runners.clear();
 }
 
 void AdviceCache::Clear() {
