Send calls for advice in the order in which they became necessary

Callers would see a job on a queue with advice wait without bound while its pool has room.

The adviser serves one call at a time, so in a burst steps wait for their call. The cache chose the next call by job id: as long as jobs with lower ids arrived faster than the adviser answers, a job with a high id never got its call. Ids are chosen by callers and have no order.

Calls now leave in the order in which the plans first asked for them, which within one plan is the order of the ranked jobs.

Evidence: StepWithAHighJobIdIsNotStarved failed before with "assertion failed - Expression: asked".

--- a/include/bronzebarrow/node/advice_book.h
+++ b/include/bronzebarrow/node/advice_book.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bronzebarrow/base/time.h"
@@ -51,6 +52,8 @@
   };
   struct StepAdvice {
     std::set<std::string> m_next_runners;  // Named in the next call.
+    // Order in which the next calls of all steps became necessary.
+    std::uint64_t m_queue_number = 0;
     // Named in the call in flight, with their incarnations.
     std::map<std::string, std::uint64_t> m_called_runners;
     std::map<std::string, RunnerAdvice> m_answers;  // By runner.
@@ -62,8 +65,13 @@
     return task;
   }
 
+  // Marks the step's call as in flight.
+  AdviceRequest MakeRequest(const jobs::TaskKey& step,
+                            StepAdvice& advice) const;
+
   const jobs::WorkState& m_state;
   std::map<jobs::TaskKey, StepAdvice> m_advice_by_step;
+  std::uint64_t m_next_queue_number = 1;
   std::size_t m_calls_in_flight = 0;  // For all steps.
   Instant m_next_call;  // Earliest time of a call after a failed one.
   Instant m_now;        // Time of the last TakeRequests or OnAdvice.
--- a/src/node/advice_book.cc
+++ b/src/node/advice_book.cc
@@ -33,6 +33,9 @@
   }
   if (!advice.m_call_in_flight &&
       advice.m_next_runners.size() < kMaxRunnersPerCall) {
+    if (advice.m_next_runners.empty()) {
+      advice.m_queue_number = m_next_queue_number++;
+    }
     advice.m_next_runners.insert(runner);
   }
   return std::nullopt;
@@ -40,38 +43,52 @@
 
 std::vector<AdviceRequest> AdviceCache::TakeRequests(Instant now) {
   m_now = now;
-  std::vector<AdviceRequest> requests;
+  // In the order in which the plans asked: jobs that arrive faster than the
+  // adviser answers must not keep an earlier one waiting.
+  std::map<std::uint64_t, std::pair<const jobs::TaskKey, StepAdvice>*> queue;
   for (auto advice = m_advice_by_step.begin();
        advice != m_advice_by_step.end();) {
     const jobs::Job* const job = m_state.FindJob(advice->first.m_job);
-    if (job == nullptr || job->m_state != jobs::JobState::kActive) {
-      advice = advice->second.m_call_in_flight ? std::next(advice)
-                                               : m_advice_by_step.erase(advice);
+    const bool is_active =
+        job != nullptr && job->m_state == jobs::JobState::kActive;
+    if (!is_active && !advice->second.m_call_in_flight) {
+      advice = m_advice_by_step.erase(advice);
       continue;
     }
-    if (!advice->second.m_next_runners.empty() &&
-        !advice->second.m_call_in_flight &&
-        m_calls_in_flight < kMaxCallsInFlight && now >= m_next_call) {
-      AdviceRequest request;
-      request.m_step = advice->first;
-      request.m_job_name = job->m_spec.id;
-      request.m_runners.assign(advice->second.m_next_runners.begin(),
-                               advice->second.m_next_runners.end());
-      advice->second.m_called_runners.clear();
-      for (const std::string& id : request.m_runners) {
-        if (const jobs::Runner* const runner = m_state.FindRunner(id)) {
-          advice->second.m_called_runners[id] = runner->m_record.born_ms;
-        }
-      }
-      advice->second.m_call_in_flight = true;
-      ++m_calls_in_flight;
-      requests.push_back(std::move(request));
+    if (is_active && !advice->second.m_call_in_flight &&
+        !advice->second.m_next_runners.empty()) {
+      queue[advice->second.m_queue_number] = &*advice;
     }
     ++advice;
   }
+  std::vector<AdviceRequest> requests;
+  for (const auto& [number, advice] : queue) {
+    if (m_calls_in_flight >= kMaxCallsInFlight || now < m_next_call) {
+      break;
+    }
+    requests.push_back(MakeRequest(advice->first, advice->second));
+    ++m_calls_in_flight;
+  }
   return requests;
 }
 
+AdviceRequest AdviceCache::MakeRequest(const jobs::TaskKey& step,
+                                       StepAdvice& advice) const {
+  AdviceRequest request;
+  request.m_step = step;
+  request.m_job_name = m_state.FindJob(step.m_job)->m_spec.id;
+  request.m_runners.assign(advice.m_next_runners.begin(),
+                           advice.m_next_runners.end());
+  advice.m_called_runners.clear();
+  for (const std::string& id : request.m_runners) {
+    if (const jobs::Runner* const runner = m_state.FindRunner(id)) {
+      advice.m_called_runners[id] = runner->m_record.born_ms;
+    }
+  }
+  advice.m_call_in_flight = true;
+  return request;
+}
+
 void AdviceCache::OnAdvice(const AdviceRequest& request,
                            const std::map<std::string, std::string>* tickets,
                            Duration valid, Instant now) {
--- a/tests/advice_book_test.cc
+++ b/tests/advice_book_test.cc
@@ -19,6 +19,7 @@
 class AdviceBookTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdviceBookTest);
   CPPUNIT_TEST(TicketIsReusedWhileItIsValid);
+  CPPUNIT_TEST(StepWithAHighJobIdIsNotStarved);
   CPPUNIT_TEST(TicketOfAnEarlierIncarnationIsNotUsed);
   CPPUNIT_TEST(FailedCallIsRepeated);
   CPPUNIT_TEST_SUITE_END();
@@ -44,6 +45,26 @@
     Take(1);
   }
 
+  // Load pattern: jobs with lower ids arrive faster than the adviser answers.
+  void StepWithAHighJobIdIsNotStarved() {
+    constexpr jobs::JobId kWaiting = 1000;
+    AcceptJob(kWaiting);
+    m_cache->TicketFor(StepOf(kWaiting), "r");
+    bool asked = false;
+    for (jobs::JobId id = 1; id < 40 && !asked; id += 4) {
+      for (jobs::JobId burst = id; burst < id + 4; ++burst) {
+        AcceptJob(burst);
+        m_cache->TicketFor(StepOf(burst), "r");
+      }
+      m_now += Millis(100);
+      for (const AdviceRequest& request : m_cache->TakeRequests(m_now)) {
+        asked = asked || request.m_step.m_job == kWaiting;
+        Answer(request);
+      }
+    }
+    CPPUNIT_ASSERT(asked);
+  }
+
   // A ticket is valid during one life of its runner.
   void TicketOfAnEarlierIncarnationIsNotUsed() {
     AcceptJob(1);
