Test gangs, occurrences and configuration changes across restarts

The random tests of the work state loaded its image once at the end of a sequence, and their sequences had no gangs, no long-running steps and no configuration without the queue. LoadedStateContinuesLikeItsOriginal loads the image after each command, compares indexes, resources and the image, and continues on the loaded state.

--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TaskKeyTextRoundTrips);
   CPPUNIT_TEST(ImageRoundTripPreservesState);
   CPPUNIT_TEST(IndexesEqualTheirRecomputation);
+  CPPUNIT_TEST(LoadedStateContinuesLikeItsOriginal);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -247,7 +248,104 @@
     }
   }
 
+  // Gangs, occurrences, changes of the configuration and restarts of runners,
+  // with a restart of the member after each command.
+  void LoadedStateContinuesLikeItsOriginal() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      setUp();
+      RegisterRunner("s", 1);
+      std::mt19937_64 random(seed);
+      std::uint64_t version = 3;
+      for (int i = 0; i < 60; ++i) {
+        switch (random() % 8) {
+          case 0:
+            AcceptMixedJob(1 + random() % 4, random() % 3);
+            break;
+          case 1: {
+            wire::OpenOccurrencesT open;
+            open.job = 1 + random() % 4;
+            open.up_to = 1 + random() % 3;
+            Apply(open);
+            break;
+          }
+          case 2: {
+            wire::PutConfigT put;
+            put.config = MakeConfig(++version);
+            if (random() % 2 == 0) {
+              put.config->queues.erase(put.config->queues.begin());
+            } else if (random() % 2 == 0) {
+              put.config->queues[0]->name = "renamed";
+            }
+            Apply(std::move(put));
+            break;
+          }
+          case 3:
+            RegisterRunner(random() % 2 == 0 ? "r" : "s", 1 + random() % 3);
+            break;
+          default:
+            AssignOrEndSomeRun(random);
+        }
+        const std::string at =
+            "seed " + std::to_string(seed) + ", step " + std::to_string(i);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::string(),
+                                     m_state->FindIndexError());
+        auto copy = std::make_unique<WorkState>();
+        CPPUNIT_ASSERT(copy->Load(m_state->Image()));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::string(), copy->FindIndexError());
+        CPPUNIT_ASSERT_MESSAGE(at, copy->Image() == m_state->Image());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, m_state->startable().size(),
+                                     copy->startable().size());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, m_state->periodic().size(),
+                                     copy->periodic().size());
+        for (const auto& [id, runner] : m_state->runners()) {
+          const Runner& other = *copy->FindRunner(id);
+          CPPUNIT_ASSERT_MESSAGE(at, other.m_used == runner.m_used);
+          CPPUNIT_ASSERT_MESSAGE(
+              at, other.m_long_running_used == runner.m_long_running_used);
+          CPPUNIT_ASSERT_MESSAGE(at, other.m_assigned == runner.m_assigned);
+        }
+        m_state = std::move(copy);
+      }
+    }
+  }
+
  private:
+  // A job of two steps, the second one after the first; `kind` 0: a gang step,
+  // 1: a long-running second step, 2: three occurrences.
+  void AcceptMixedJob(JobId id, std::uint64_t kind) {
+    wire::AcceptJobT accept = MakeJob(id, {2, 2});
+    accept.job->steps[0]->gang = kind == 0;
+    accept.job->steps[1]->lasting = kind == 1;
+    accept.job->times = kind == 2 ? 3 : 0;
+    Apply(std::move(accept));
+  }
+
+  // Assigns a random waiting task, a gang as a whole, or ends a random run.
+  void AssignOrEndSomeRun(std::mt19937_64& random) {
+    const Job* const job = m_state->FindJob(1 + random() % 4);
+    if (job == nullptr || job->m_occurrences.empty()) {
+      return;
+    }
+    auto occurrence = job->m_occurrences.begin();
+    std::advance(occurrence, static_cast<std::ptrdiff_t>(
+                                 random() % job->m_occurrences.size()));
+    const auto step = static_cast<std::uint16_t>(random() % 2);
+    const auto index = static_cast<std::uint16_t>(random() % 2);
+    const TaskKey key = {job->m_id, occurrence->first, step, index};
+    const Task task = *job->FindTask(key);
+    if (task.m_state == TaskState::kAssigned) {
+      RecordEnd(task.m_runner, {key, task.m_run},
+                static_cast<wire::EndKind>(random() % 7), random() % 50);
+    } else if (job->IsStepReady(occurrence->second, step)) {
+      std::vector<RunKey> runs = {{key, task.m_run + 1}};
+      if (job->m_spec.steps[step]->gang) {
+        runs.push_back({key, task.m_run + 1});
+        runs.back().m_task.m_index = static_cast<std::uint16_t>(1 - index);
+      }
+      AssignRuns(random() % 2 == 0 ? "r" : "s", runs);
+    }
+  }
+
   void AcceptPeriodicJob(JobId id, std::uint32_t times) {
     wire::AcceptJobT accept;
     accept.queue = "short";
