Stop counting a machine that is lost on its move

Callers would see jobs wait in a pool that has no machine while others are idle.

An accepted move ended only when the machine's new runner registered in the target pool. A machine that failed on the way counted as one of that pool for as long as the leader stayed: the pool had enough machines by the count and got no other one.

The move is given up once the machine's inventory was read after the time that a move takes.

Evidence: MovedMachineThatNeverArrivesIsReplaced failed before with "assertion failed - Expression: !RequestsWithin(Millis(10'000)).empty()".

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -157,6 +157,8 @@
                    Instant now);
   bool HasReturned(const std::string& machine, const Operation& operation,
                    Instant now) const;
+  bool IsLostOnMove(const std::string& machine, const Operation& operation,
+                    Instant now) const;
   bool IsBeingFenced(const std::string& runner) const;
   void BalancePools(Moment moment);
   static void LogPools(const std::vector<placement::PoolLoad>& loads);
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -349,7 +349,7 @@
       return false;
     case Phase::kDown:
       if (!HasReturned(machine, operation, now)) {
-        return false;
+        return !is_upkeep && IsLostOnMove(machine, operation, now);
       }
       if (!is_upkeep) {
         return true;
@@ -439,6 +439,22 @@
                     (is_drained_incarnation ? kReturnMargin : Duration::zero());
 }
 
+// The platform's inventory was read since the machine should have arrived, and
+// still no runner of the target pool has registered.
+bool MachinePlanner::IsLostOnMove(const std::string& machine,
+                                  const Operation& operation,
+                                  Instant now) const {
+  if (now < operation.m_timer_start + m_options.m_move_duration +
+                m_options.m_listing_interval) {
+    return false;
+  }
+  EventLine(Event::kMachineMoved, Severity::kWarning)
+      .Field("machine", machine)
+      .Field("to", operation.m_pool)
+      .Field("step", "lost");
+  return true;
+}
+
 // After a change of the owner no runner is usable until its first answer. They
 // count as their pools' machines for that time, or every pool would seem empty.
 bool MachinePlanner::IsBeingFenced(const std::string& runner) const {
--- a/tests/machine_planner_test.cc
+++ b/tests/machine_planner_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(RequestsStayWithinThePlatformRate);
   CPPUNIT_TEST(LowPlatformRateStillPermitsRequests);
   CPPUNIT_TEST(MachinesOfRunnersBeingFencedCount);
+  CPPUNIT_TEST(MovedMachineThatNeverArrivesIsReplaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -179,6 +180,21 @@
                          m_planner->TakeOutlook()->at("pool").m_capacity_milli);
   }
 
+  // Guards against counting a machine that is lost on its move as one of its
+  // pool for good: the pool seems to have enough and gets no other machine.
+  void MovedMachineThatNeverArrivesIsReplaced() {
+    Submit();
+    DeliverListing({"lost-1", "lost-2"});
+    const auto requests = RequestsWithin(Millis(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests.size());
+    for (const fleet::MachineRequest& request : requests) {
+      m_planner->OnAnswer(request, fleet::MachineResponse::kOk, m_now);
+    }
+    DeliverListing({"spare"});
+    CPPUNIT_ASSERT(RequestsWithin(Millis(5000)).empty());
+    CPPUNIT_ASSERT(!RequestsWithin(Millis(10'000)).empty());
+  }
+
  private:
   void StartWave(const std::string& machine) {
     wire::StartUpkeepT wave;
@@ -232,6 +248,17 @@
     m_planner->OnMachineInventory({machine}, m_now);
   }
 
+  void DeliverListing(const std::vector<std::string>& resting) {
+    std::vector<fleet::Machine> machines;
+    for (const std::string& name : resting) {
+      fleet::Machine& machine = machines.emplace_back();
+      machine.m_name = name;
+      machine.m_pool = "rest";
+      machine.m_state = fleet::MachineState::kUp;
+    }
+    m_planner->OnMachineInventory(std::move(machines), m_now);
+  }
+
   void AnswerCalls() {
     m_dispatcher->Tick(m_now);
     for (const runs::RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
