Do not take a run for lost when the list of ends is full

Callers would see a task run again after it was done, or run twice.

A run that is neither running nor among the listed ends was recorded as lost. A runner lists at most 500 ends at a time, so an end that is still to come, for example after a long time without an owner, looked the same.

A full list of ends now proves nothing about runs that are not in it; the next list, after these ends are recorded, does.

Evidence: RunBeyondAFullListOfEndsIsNotLost failed before with "equality assertion failed - Expected: 1 - Actual: 0".

--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -22,6 +22,9 @@
 // runs.
 constexpr std::uint32_t kUnresponsiveTimeouts = 1;
 
+// A runner lists at most this many ends at a time (platform documentation).
+constexpr std::size_t kMaxListedEnds = 500;
+
 // At most one in this many runners of a pool is quarantined at a time.
 constexpr std::size_t kQuarantineShareDivisor = 4;
 // Runs of one runner that must be stalled at the same time before it is
@@ -633,6 +636,9 @@
     link.m_next_hold = now + m_options.m_end_batch_delay;
     m_commands.emplace_back().Set(std::move(ends));
   }
+  if (answer.m_ended.size() >= kMaxListedEnds) {
+    return;  // The ends that are missing may be in the next list.
+  }
   std::vector<jobs::RunKey> lost;
   for (const auto& [task, tracked] : link.m_tracked_runs) {
     const bool in_run_list =
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(QuarantineIsLimitedToAShareOfThePool);
   CPPUNIT_TEST(StalledRunsAreStopped);
   CPPUNIT_TEST(LongTasksHaveALongerStallTimeout);
+  CPPUNIT_TEST(RunBeyondAFullListOfEndsIsNotLost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -29,6 +30,7 @@
     m_log_index = 0;
     m_last_end_number = 0;
     m_estimate_ms = 0;
+    m_other_ends = 0;
     m_running.clear();
     m_stopped.clear();
     m_state = std::make_unique<jobs::WorkState>();
@@ -140,6 +142,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_stopped.size());
   }
 
+  // A runner lists a limited number of ends at a time. Guards against a second
+  // run of a task whose end is not among them.
+  void RunBeyondAFullListOfEndsIsNotLost() {
+    Assign(1, 1, RunnerId(0));
+    const jobs::Runner* const runner = m_state->FindRunner(RunnerId(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runner->m_assigned.size());
+    m_running = {{{{1, 0, 0, 0}, 1}, "", 0, 0}};
+    Advance(Millis(100));
+    m_running.clear();
+    m_other_ends = 500;  // Of runs that the log has forgotten.
+    Advance(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runner->m_assigned.size());
+    m_other_ends = 0;
+    Advance(Millis(100));
+    Advance(Millis(100));
+    CPPUNIT_ASSERT(runner->m_assigned.empty());
+  }
+
  private:
   static std::string RunnerId(std::uint32_t number) {
     return "r" + std::to_string(number);
@@ -209,6 +229,13 @@
                   std::chrono::duration_cast<Millis>(m_now.time_since_epoch())
                       .count());
       if (call.m_kind == CallKind::kHold) {
+        for (; call.m_runner == RunnerId(0) && m_other_ends > 0;
+             --m_other_ends) {
+          answer.m_ended.push_back({++m_last_end_number,
+                                    {{99, 0, 0, 0}, 1},
+                                    wire::EndKind::Done,
+                                    ""});
+        }
         if (m_reported_end && call.m_runner == m_reporting_runner) {
           answer.m_ended.push_back(*m_reported_end);
           m_reported_end.reset();
@@ -229,6 +256,7 @@
   std::uint64_t m_log_index = 0;
   std::uint64_t m_last_end_number = 0;
   std::uint32_t m_estimate_ms = 0;
+  std::uint32_t m_other_ends = 0;  // In the next run list, of unknown runs.
   std::unique_ptr<jobs::WorkState> m_state;
   std::unique_ptr<Dispatcher> m_dispatcher;
   std::optional<ReportedEnd> m_reported_end;
