--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -181,10 +181,30 @@
   if (!config || config->version <= m_queues.version()) {
     return;
   }
-  m_queues = QueueTable(*config);
+  QueueTable previous = std::exchange(m_queues, QueueTable(*config));
+  RenameQueues(previous);
+  EndJobsWithoutAttempts(applied);
   applied.m_changed = true;
 }
 
+void WorkState::RenameQueues(const QueueTable& previous) {
+  for (const auto& queue : previous.config().queues) {
+    const wire::QueueSpecT* const renamed =
+        m_queues.FindAt(queue->host, queue->path_prefix);
+    if (m_queues.Find(queue->name) != nullptr || renamed == nullptr) {
+      continue;
+    }
+    for (const auto& [number, id] : m_active) {
+      Job& job = m_jobs.at(id);
+      if (job.m_queue == queue->name) {
+        job.m_queue = renamed->name;
+      }
+    }
+    m_unstarted[renamed->name] += m_unstarted[queue->name];
+    m_unstarted.erase(queue->name);
+  }
+}
+
 void WorkState::AcceptJob(const wire::WorkBodyUnion& body,
                           ApplyResult& applied) {
   const wire::AcceptJobT& accept = *body.AsAcceptJob();
@@ -343,14 +363,30 @@
   } else {
     ++task.m_failures;
   }
-  const wire::QueueSpecT* const queue = m_queues.Find(job.m_queue);
-  const std::uint32_t attempts =
-      queue == nullptr ? 1 : std::max(queue->attempts, 1U);
-  if (task.m_failures >= attempts) {
+  if (HasUsedAllAttempts(job, task)) {
     EndJob(job, JobState::kFailed, applied);
   }
 }
 
+bool WorkState::HasUsedAllAttempts(const Job& job, const Task& task) const {
+  const wire::QueueSpecT* const queue = m_queues.Find(job.m_queue);
+  return queue != nullptr && task.m_failures >= std::max(queue->attempts, 1U);
+}
+
+void WorkState::EndJobsWithoutAttempts(ApplyResult& applied) {
+  std::vector<JobId> failed;
+  for (const auto& entry : m_startable) {
+    const Job& job = *entry.second;
+    if (job.HasWaitingTask(
+            [&](const Task& task) { return HasUsedAllAttempts(job, task); })) {
+      failed.push_back(job.m_id);
+    }
+  }
+  for (const JobId id : failed) {
+    EndJob(m_jobs.at(id), JobState::kFailed, applied);
+  }
+}
+
 void WorkState::CompleteGang(Job& job, const TaskKey& key,
                              ApplyResult& applied) {
   StepState& step = job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step];
@@ -405,7 +441,7 @@
   runner.m_used.Add(ResourcesOf(step), 1);
   if (step.lasting) {
     ++runner.m_long_running;
-    runner.m_long_running_milli += ResourcesOf(step).m_cpu_milli;
+    runner.m_long_running_used.Add(ResourcesOf(step), 1);
   }
 }
 
@@ -420,7 +456,7 @@
     assignee->second.m_used.Add(ResourcesOf(*step), -1);
     if (step->lasting) {
       --assignee->second.m_long_running;
-      assignee->second.m_long_running_milli -= ResourcesOf(*step).m_cpu_milli;
+      assignee->second.m_long_running_used.Add(ResourcesOf(*step), -1);
     }
   }
 }
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -115,8 +115,10 @@
       const bool goes_down_soon =
           m_input.m_goes_down_soon &&
           m_input.m_goes_down_soon(runner->m_record.machine);
+      jobs::Resources free_without_finite = runner->TotalResources();
+      free_without_finite.Add(runner->m_long_running_used, -1);
       pool.m_candidates.push_back(
-          {runner, free, goes_down_soon,
+          {runner, free, free_without_finite, goes_down_soon,
            static_cast<std::int64_t>(runner->m_long_running), RackOf(*runner)});
     }
   }
@@ -173,14 +175,17 @@
           pool.m_unplaceable_needs.push_back(need);
         }
         if (spec.gang) {
-          ReleaseCapacity(chosen, need);
+          ReleaseCapacity(chosen, spec, need);
           return;
         }
         break;
       }
       const std::uint32_t run = spec.gang ? gang_run : task.m_run + 1;
       best->m_free.Add(need, -1);
-      best->m_long_running += spec.lasting ? 1 : 0;
+      if (spec.lasting) {
+        best->m_free_without_finite.Add(need, -1);
+        ++best->m_long_running;
+      }
       ++best->m_step_tasks;
       if (spec.same_rack) {
         ++tasks_on_rack[best->m_rack];
@@ -202,34 +207,39 @@
 
   static void ReleaseCapacity(
       const std::vector<std::pair<Candidate*, jobs::RunKey>>& chosen,
-      const jobs::Resources& need) {
+      const wire::StepSpecT& spec, const jobs::Resources& need) {
     for (const auto& [candidate, run] : chosen) {
       candidate->m_free.Add(need, 1);
+      if (spec.lasting) {
+        candidate->m_free_without_finite.Add(need, 1);
+        --candidate->m_long_running;
+      }
     }
   }
 
   // Returns the candidate with the lowest score. Preferred are, in this order,
   // the data's rack, the rack with the most tasks of the step and, if the task
   // has failed before, another runner than that of its last run. Long-running
-  // tasks avoid machines that go down soon, then machines with tasks of the
-  // same step, and are otherwise packed on the machines with the most
-  // long-running tasks, so that the remaining machines can change their pool.
-  // Ties go to the fullest runner that fits, so that other runners become idle
-  // and can leave the pool.
+  // tasks avoid machines that go down soon, then runners reserved for another
+  // one, then machines with tasks of the same step, and are otherwise packed on
+  // the machines with the most long-running tasks, so that the remaining
+  // machines can change their pool. Ties go to the fullest runner that fits, so
+  // that other runners become idle and can leave the pool.
   Candidate* FindBestCandidate(
       const RankedJob& ranked, const jobs::TaskKey& key,
       const wire::StepSpecT& spec, const jobs::Task& task,
       const jobs::Resources& need,
       const std::map<std::string_view, std::uint32_t>& tasks_on_rack,
       std::vector<Candidate>& candidates) {
-    using Score = std::tuple<bool, std::int64_t, bool, bool, std::uint32_t,
-                             std::int64_t, std::int64_t>;
+    using Score = std::tuple<bool, std::int64_t, bool, bool, bool,
+                             std::uint32_t, std::int64_t, std::int64_t>;
     Candidate* best = nullptr;
     Score best_score;
     for (Candidate& candidate : candidates) {
       const jobs::Runner& runner = *candidate.m_runner;
       const std::string& id = runner.m_record.id;
-      if (candidate.m_reserved || !candidate.m_free.Fits(need) ||
+      const bool is_kept_free = candidate.m_reserved && !spec.lasting;
+      if (is_kept_free || !candidate.m_free.Fits(need) ||
           !MeetsConstraints(spec, candidate)) {
         continue;
       }
@@ -252,6 +262,7 @@
                            rack_score,
                            task.m_failures > 0 && task.m_runner == id,
                            is_long_running && candidate.m_goes_down_soon,
+                           candidate.m_reserved,
                            is_long_running ? candidate.m_step_tasks : 0,
                            is_long_running ? -candidate.m_long_running : 0,
                            candidate.m_free.m_cpu_milli};
@@ -263,20 +274,20 @@
     return best;
   }
 
-  // Keeps a runner free of new tasks during this pass for a long-running task
-  // that does not fit yet: in a backlog of small tasks no runner would ever
-  // have enough free capacity for a large one. Takes the runner with the most
-  // free CPU, which has more of it with each pass until the task fits.
+  // Keeps a runner free of new tasks that end on their own during this pass for
+  // a long-running task that does not fit yet: in a backlog of small tasks no
+  // runner would ever have enough free capacity for a large one. Takes the
+  // runner with the most free CPU, which has more of it with each pass until
+  // the task fits. A runner whose long-running tasks leave too little is of no
+  // use: it would stay reserved for good.
   static void ReserveRunner(const wire::StepSpecT& spec,
                             const jobs::Resources& need,
                             std::vector<Candidate>& candidates) {
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
-      const wire::RunnerRecordT& record = candidate.m_runner->m_record;
-      const jobs::Resources total = {record.cpu_milli, record.memory_mb,
-                                     record.gpu};
       if (candidate.m_reserved || candidate.m_goes_down_soon ||
-          !total.Fits(need) || !MeetsConstraints(spec, candidate)) {
+          !candidate.m_free_without_finite.Fits(need) ||
+          !MeetsConstraints(spec, candidate)) {
         continue;
       }
       if (best == nullptr ||
