Answer all requests before an entry ends

Callers saw connections end without a response while an entry was stopped. The entry ended when its grace was over, whatever calls it still had, and closed idle connections by ending. While no leader is known a call lasts up to 2.2 s, and an entry that drains still gets new ones as long as its zone has few others.

The process ends when no connection is open.

Ruled out: a response that is destroyed because the server closes a socket with unread bytes.

--- a/include/bronzebarrow/node/leader_link.h
+++ b/include/bronzebarrow/node/leader_link.h
@@ -47,6 +47,8 @@
 
   boost::asio::awaitable<wire::CallReplyT> Call(wire::CallBodyUnion body,
                                                 Instant deadline);
+  /** Later calls end at `deadline` at the latest, e.g. before a shutdown. */
+  void LimitCalls(Instant deadline) { m_latest_deadline = deadline; }
 
   /**
    * Sends a frame to a member. While there is no connection to the member, the
@@ -97,6 +99,7 @@
   // By call id.
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> m_pending;
   std::uint64_t m_next_id = 1;
+  Instant m_latest_deadline = Instant::max();
   boost::asio::steady_timer m_probe_timer;
   bool m_stopped = false;
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,16 +5,16 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <utility>
 
-#include "bronzebarrow/base/time.h"
-
 namespace bronzebarrow::net {
 namespace {
 
@@ -25,6 +25,8 @@
 // Limit for reading one request, including the idle time before it.
 constexpr Duration kIdleTimeout = Millis(120'000);
 constexpr Duration kWriteTimeout = Millis(30'000);
+constexpr Duration kDrainPollInterval = Millis(10);
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
 
 bool IsTooLarge(const beast::error_code& error) {
   return error == http::error::body_limit ||
@@ -77,6 +79,7 @@
 Result<std::shared_ptr<HttpServer>> HttpServer::Listen(
     asio::any_io_executor executor, const Address& address, Handler handler) {
   auto server = std::make_shared<HttpServer>();
+  server->m_executor = executor;
   server->m_handler = std::move(handler);
   const std::weak_ptr<HttpServer> weak = server;
   BOOST_LEAF_AUTO(
@@ -100,28 +103,87 @@
 
 void HttpServer::CloseAll() {
   const std::lock_guard lock(m_mutex);
-  for (const auto& stream : m_streams) {
-    asio::post(stream->get_executor(), [stream] {
+  for (const auto& connection : m_connections) {
+    asio::post(connection->m_stream.get_executor(), [connection] {
       boost::system::error_code ignored;
-      stream->socket().close(ignored);
+      connection->m_stream.socket().close(ignored);
     });
   }
 }
 
+void HttpServer::Drain(Duration limit, std::function<void()> done) {
+  m_draining = true;
+  StopAccepting();
+  {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& connection : m_connections) {
+      asio::post(connection->m_stream.get_executor(), [connection] {
+        boost::system::error_code ignored;
+        if (connection->m_idle &&
+            connection->m_stream.socket().available(ignored) == 0) {
+          connection->m_stream.cancel();
+        }
+      });
+    }
+  }
+  asio::co_spawn(
+      m_executor,
+      WaitUntilClosed(shared_from_this(), Now() + limit, std::move(done)),
+      asio::detached);
+}
+
+bool HttpServer::HasConnections() {
+  const std::lock_guard lock(m_mutex);
+  return !m_connections.empty();
+}
+
+asio::awaitable<void> HttpServer::WaitUntilClosed(
+    std::shared_ptr<HttpServer> self, Instant deadline,
+    std::function<void()> done) {
+  asio::steady_timer timer(self->m_executor);
+  // The first wait lets connections that were just accepted be listed.
+  do {
+    boost::system::error_code ignored;
+    timer.expires_after(kDrainPollInterval);
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  } while (Now() < deadline && self->HasConnections());
+  done();
+}
+
+asio::awaitable<bool> HttpServer::AwaitRequest(Connection& connection,
+                                               beast::flat_buffer& buffer) {
+  if (buffer.size() > 0) {
+    co_return true;
+  }
+  boost::system::error_code error;
+  if (m_draining && connection.m_stream.socket().available(error) == 0) {
+    co_return false;
+  }
+  connection.m_stream.expires_after(kIdleTimeout);
+  connection.m_idle = true;
+  const std::size_t bytes = co_await connection.m_stream.async_read_some(
+      buffer.prepare(beast::read_size(buffer, kMaxReadBytes)),
+      asio::redirect_error(asio::use_awaitable, error));
+  connection.m_idle = false;
+  buffer.commit(bytes);
+  co_return !error;
+}
+
 asio::awaitable<void> HttpServer::Serve(std::shared_ptr<HttpServer> self,
                                         asio::ip::tcp::socket socket) {
   boost::system::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  const auto shared_stream =
-      std::make_shared<beast::tcp_stream>(std::move(socket));
-  beast::tcp_stream& stream = *shared_stream;
-  auto position = self->m_streams.end();
+  const auto connection = std::make_shared<Connection>(std::move(socket));
+  beast::tcp_stream& stream = connection->m_stream;
+  auto position = self->m_connections.end();
   {
     const std::lock_guard lock(self->m_mutex);
-    position = self->m_streams.insert(self->m_streams.end(), shared_stream);
+    position =
+        self->m_connections.insert(self->m_connections.end(), connection);
   }
   beast::flat_buffer buffer(kMaxHeaderBytes + kMaxBodyBytes);
-  while (true) {
+  while (co_await self->AwaitRequest(*connection, buffer)) {
     http::request_parser<http::string_body> parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(kMaxBodyBytes);
@@ -160,7 +222,7 @@
   }
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   const std::lock_guard lock(self->m_mutex);
-  self->m_streams.erase(position);
+  self->m_connections.erase(position);
 }
 
 }  // namespace bronzebarrow::net
--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -183,6 +183,7 @@
 
 asio::awaitable<wire::CallReplyT> LeaderLink::Call(wire::CallBodyUnion body,
                                                    Instant deadline) {
+  deadline = std::min(deadline, m_latest_deadline);
   const std::uint64_t id = m_next_id++;
   const auto pending = std::make_shared<PendingCall>(m_executor);
   wire::FrameT frame;
--- /dev/null
+++ b/tests/process_stop.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Stops processes of the platform that have requests in progress: each request
+# that was sent is answered, or its connection is refused. A non-empty KEEP keeps
+# the folder of settings, data and logs.
+set -euo pipefail
+build="${BUILD:-$(dirname "$0")/../build}"
+folder="$(mktemp -d)"
+pids=()
+clean_up() {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  [ -n "${KEEP:-}" ] || rm -rf "$folder"
+}
+trap clean_up EXIT
+
+# The addresses of the seeds have no process, so that no leader is known and each
+# call lasts as long as it may.
+write_settings() { # write_settings NAME ADDRESS
+  mkdir -p "$folder/$1.data"
+  cat >"$folder/$1.yaml" <<YAML
+node_name: "$1"
+ip: "$2"
+zone: "z"
+listen: {front: "$2:21001", readiness: "$2:21002", control: "$2:21003"}
+port_range: [21010, 21025]
+seeds: ["127.7.0.1:21003", "127.7.0.2:21003", "127.7.0.3:21003"]
+bootstrap: true
+data_dir: "$folder/$1.data"
+fault_tolerance: {machines: 1, zones: 0, regions: 0}
+limits: {max_fds: 4096}
+bounds: {grace_s: 6}
+YAML
+}
+start() { # start NAME ROLE ADDRESS
+  write_settings "$1" "$3"
+  BRONZEBARROW_NODE_FILE="$folder/$1.yaml" \
+    "$build/bronzebarrow-platform" "$2" 9464 >>"$folder/$1.log" 2>&1 &
+  pids+=($!)
+  pid_of[$1]=$!
+}
+await_port() { # await_port URL
+  for _ in $(seq 100); do
+    curl -s -m 1 -o /dev/null "$1" && return
+    sleep 0.05
+  done
+  echo "no process listens at $1"
+  exit 1
+}
+# Sends requests one after the other until a connection is refused, and writes
+# the exit status of each curl.
+ask_until_refused() { # ask_until_refused FILE CURL_ARGUMENT...
+  local file="$1" status=0
+  shift
+  while [ "$status" != 7 ]; do
+    status=0
+    curl -s -m 8 -o /dev/null "$@" || status=$?
+    echo "$status" >>"$file"
+  done
+}
+expect_answers() { # expect_answers WHAT FILE
+  local bad
+  bad="$(grep -cvx '0\|7' "$2" || true)"
+  echo "$1: $(grep -cx 0 "$2") requests answered, $bad cut"
+  [ "$bad" = 0 ] || { sort "$2" | uniq -c; exit 1; }
+}
+declare -A pid_of
+
+# An entry is stopped while calls wait for a leader.
+start e1 entry 127.7.0.4
+await_port http://127.7.0.4:21002/v1/ready
+clients=()
+for client in $(seq 10); do
+  ask_until_refused "$folder/entry.txt" \
+    http://127.7.0.4:21001/queue/5c0e7a21d94b36f8 &
+  clients+=($!)
+  sleep 0.2
+done
+kill -TERM "${pid_of[e1]}"
+wait "${clients[@]}"
+expect_answers "stop of an entry" "$folder/entry.txt"
