--- a/tests/process_stop.sh
+++ b/tests/process_stop.sh
@@ -76,4 +76,19 @@
 done
 kill -TERM "${pid_of[e1]}"
 wait "${clients[@]}"
+wait "${pid_of[e1]}"
 expect_answers "stop of an entry" "$folder/entry.txt"
+
+# A member that knows no leader is stopped while it has requests.
+start m5 member 127.7.0.5
+await_port http://127.7.0.5:21003/v1/unknown
+clients=()
+for client in $(seq 6); do
+  ask_until_refused "$folder/member.txt" http://127.7.0.5:21003/v1/config/get &
+  clients+=($!)
+  sleep 0.1
+done
+kill -TERM "${pid_of[m5]}"
+wait "${clients[@]}"
+wait "${pid_of[m5]}"
+expect_answers "stop of a member" "$folder/member.txt"
