Don't refuse a submission whose first attempt may have been executed

A caller could be told 404 ("no such queue") for a job that had been accepted and runs: the reply to the first attempt is lost with the leader or at its 700 ms, a new configuration removes the queue, and the second attempt is refused by the state that it meets. The other refusals were already reported as unknown in this case; NoQueue was not. It now is, and the caller gets 504.

The tests also cover what needs no change: Accepted, Found, Missing and Invalid after a lost reply are final, because they hold whatever became of the first attempt; a refusal of the first attempt is returned as it is; a stop ends a call that has an attempt in progress as unknown.

RefusalAfterALostReplyIsUnknown failed before with "Expected: Unknown, Actual: NoQueue".

--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -25,6 +25,14 @@
 constexpr Duration kAttemptTimeout = Millis(700);
 constexpr Duration kNoLeaderRetryInterval = Millis(40);
 
+// Whether the leader's state decided against the call. An earlier attempt may
+// have met another state and been executed.
+bool IsRefusal(wire::CallOutcome outcome) {
+  return outcome == wire::CallOutcome::NotRun ||
+         outcome == wire::CallOutcome::Refused ||
+         outcome == wire::CallOutcome::NoQueue;
+}
+
 }  // namespace
 
 LeaderLink::LeaderLink(asio::any_io_executor executor, std::string own_name,
@@ -225,9 +233,7 @@
     break;
   }
   m_pending.erase(id);
-  const bool refused = result.outcome == wire::CallOutcome::NotRun ||
-                       result.outcome == wire::CallOutcome::Refused;
-  if (maybe_executed && refused) {
+  if (maybe_executed && IsRefusal(result.outcome)) {
     result.outcome = wire::CallOutcome::Unknown;
   }
   co_return result;
--- /dev/null
+++ b/tests/leader_link_test.cc
@@ -0,0 +1,197 @@
+// Tests of the outcome of calls whose attempts are lost, refused or answered by
+// different members, against fake members on loopback.
+#include "bronzebarrow/node/leader_link.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "bronzebarrow/net.h"
+
+namespace bronzebarrow::node {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTestLimit = Millis(6000);
+
+/** A member that says it leads, and answers each call as scripted. */
+class FakeMember {
+ public:
+  explicit FakeMember(asio::io_context& io) {
+    auto listening = Capture<std::shared_ptr<net::Acceptor>>([&] {
+      return net::Acceptor::Listen(
+          io.get_executor(), {"127.0.0.1", 0},
+          [this](asio::ip::tcp::socket socket) {
+            auto connection =
+                std::make_shared<net::FrameConnection>(std::move(socket));
+            connection->Start(
+                [this](const net::FrameConnectionPtr& from,
+                       std::unique_ptr<wire::FrameT> frame) {
+                  OnFrame(from, *frame);
+                },
+                [](const net::FrameConnectionPtr&) {});
+          });
+    });
+    m_acceptor = std::get<std::shared_ptr<net::Acceptor>>(listening);
+  }
+
+  std::string name() const {
+    return "127.0.0.1:" + std::to_string(m_acceptor->port());
+  }
+
+  // By attempt; nothing: no reply. Attempts beyond the last get no reply.
+  std::deque<std::optional<wire::CallOutcome>> m_script;
+  int m_calls = 0;
+
+ private:
+  void OnFrame(const net::FrameConnectionPtr& from, const wire::FrameT& frame) {
+    wire::FrameT answer;
+    answer.sender = name();
+    if (frame.body.type == wire::Body::ViewRequest) {
+      wire::GroupViewT view;
+      view.term = 1;
+      view.leading = true;
+      view.members = {name()};
+      answer.body.Set(std::move(view));
+      from->Send(answer);
+      return;
+    }
+    const auto* const call = frame.body.AsCall();
+    if (call == nullptr) {
+      return;
+    }
+    ++m_calls;
+    if (m_script.empty()) {
+      return;
+    }
+    const std::optional<wire::CallOutcome> outcome = m_script.front();
+    m_script.pop_front();
+    if (outcome) {
+      wire::CallReplyT reply;
+      reply.id = call->id;
+      reply.outcome = *outcome;
+      answer.body.Set(std::move(reply));
+      from->Send(answer);
+    }
+  }
+
+  std::shared_ptr<net::Acceptor> m_acceptor;
+};
+
+class LeaderLinkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeaderLinkTest);
+  CPPUNIT_TEST(RefusalAfterALostReplyIsUnknown);
+  CPPUNIT_TEST(AnswerAfterALostReplyIsReturned);
+  CPPUNIT_TEST(FirstRefusalIsReturned);
+  CPPUNIT_TEST(StopEndsCallsTruthfully);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_io = std::make_unique<asio::io_context>(1);
+    m_member = std::make_unique<FakeMember>(*m_io);
+    m_link = std::make_unique<LeaderLink>(
+        m_io->get_executor(), "entry",
+        std::vector<std::string>{m_member->name()});
+    m_link->Start();
+    RunUntil([&] { return m_link->leader() == m_member->name(); });
+  }
+
+  void tearDown() override {
+    m_link->Stop();
+    m_io->run_for(Millis(20));
+    m_io.reset();
+    m_link.reset();
+  }
+
+  // Guards against a submission that is executed by its first attempt, whose
+  // reply is lost, and is then reported as refused, e.g. because its queue has
+  // been removed meanwhile.
+  void RefusalAfterALostReplyIsUnknown() {
+    for (const auto refusal :
+         {wire::CallOutcome::NotRun, wire::CallOutcome::Refused,
+          wire::CallOutcome::NoQueue}) {
+      m_member->m_script = {std::nullopt, refusal};
+      CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), Outcome(Millis(2000)));
+    }
+  }
+
+  void AnswerAfterALostReplyIsReturned() {
+    for (const auto outcome :
+         {wire::CallOutcome::Accepted, wire::CallOutcome::Missing,
+          wire::CallOutcome::Found, wire::CallOutcome::Invalid}) {
+      m_member->m_script = {std::nullopt, outcome};
+      CPPUNIT_ASSERT_EQUAL(std::string(wire::EnumNameCallOutcome(outcome)),
+                           Outcome(Millis(2000)));
+    }
+  }
+
+  void FirstRefusalIsReturned() {
+    for (const auto outcome :
+         {wire::CallOutcome::NotRun, wire::CallOutcome::Refused,
+          wire::CallOutcome::NoQueue}) {
+      m_member->m_script = {outcome};
+      CPPUNIT_ASSERT_EQUAL(std::string(wire::EnumNameCallOutcome(outcome)),
+                           Outcome(Millis(2000)));
+    }
+  }
+
+  // Guards against a call that a stop leaves without an outcome, or whose
+  // attempt in progress is taken for one that was not executed.
+  void StopEndsCallsTruthfully() {
+    const auto outcome = StartCall(Millis(5000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    m_link->Stop();
+    RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), outcome->value());
+  }
+
+ private:
+  using OutcomeName = std::shared_ptr<std::optional<std::string>>;
+
+  OutcomeName StartCall(Duration timeout) {
+    const auto outcome = std::make_shared<std::optional<std::string>>();
+    asio::co_spawn(
+        *m_io,
+        [this, outcome, timeout]() -> asio::awaitable<void> {
+          wire::CallBodyUnion body;
+          body.Set(wire::SubmitCallT());
+          const wire::CallReplyT reply =
+              co_await m_link->Call(std::move(body), Now() + timeout);
+          *outcome = wire::EnumNameCallOutcome(reply.outcome);
+        },
+        asio::detached);
+    return outcome;
+  }
+
+  std::string Outcome(Duration timeout) {
+    const auto outcome = StartCall(timeout);
+    RunUntil([&] { return outcome->has_value(); });
+    return outcome->value();
+  }
+
+  template <typename Condition>
+  void RunUntil(Condition condition) {
+    const Instant limit = Now() + kTestLimit;
+    while (!condition()) {
+      m_io->run_one_until(limit);
+      CPPUNIT_ASSERT(Now() < limit);
+    }
+  }
+
+  std::unique_ptr<asio::io_context> m_io;
+  std::unique_ptr<FakeMember> m_member;
+  std::unique_ptr<LeaderLink> m_link;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaderLinkTest);
+
+}  // namespace
+}  // namespace bronzebarrow::node
