Settle a call at the next leader when its leader steps down

A caller got 504 at once for each submission that was being committed when its leader handed off, although up to 2.2 s of its time were left: the old leader replies Unknown, and the entry took that for the call's outcome. A lost reply, a less informative event, was already answered by sending the call again.

The entry now treats Unknown like a lost reply: calls are idempotent, so the next leader settles it. If time runs out or the call is refused there, the outcome is still unknown.

CallOutlivesALeaderThatStepsDown failed before with "Expected: Accepted, Actual: Unknown".

--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -229,6 +229,14 @@
                     std::min(deadline - Now(), kNoLeaderRetryInterval));
       continue;
     }
+    if (pending->m_reply->outcome == wire::CallOutcome::Unknown) {
+      // The leader stepped down with the call uncommitted; the next leader
+      // knows what became of it.
+      maybe_executed = true;
+      co_await Wait(*pending,
+                    std::min(deadline - Now(), kNoLeaderRetryInterval));
+      continue;
+    }
     result = std::move(*pending->m_reply);
     break;
   }
--- a/tests/leader_link_test.cc
+++ b/tests/leader_link_test.cc
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(RefusalAfterALostReplyIsUnknown);
   CPPUNIT_TEST(AnswerAfterALostReplyIsReturned);
   CPPUNIT_TEST(FirstRefusalIsReturned);
+  CPPUNIT_TEST(CallOutlivesALeaderThatStepsDown);
   CPPUNIT_TEST(StopEndsCallsTruthfully);
   CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +144,17 @@
     }
   }
 
+  // Guards against a call that is given up with an unknown outcome when its
+  // leader steps down, although the next leader can settle it in time.
+  void CallOutlivesALeaderThatStepsDown() {
+    m_member->m_script = {wire::CallOutcome::Unknown,
+                          wire::CallOutcome::Accepted};
+    CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), Outcome(Millis(2000)));
+    m_member->m_script = {wire::CallOutcome::Unknown,
+                          wire::CallOutcome::Refused};
+    CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), Outcome(Millis(2000)));
+  }
+
   // Guards against a call that a stop leaves without an outcome, or whose
   // attempt in progress is taken for one that was not executed.
   void StopEndsCallsTruthfully() {
