--- a/tests/process_stop.sh
+++ b/tests/process_stop.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Stops processes of the platform that have requests in progress: each request
-# that was sent is answered, or its connection is refused. A non-empty KEEP keeps
-# the folder of settings, data and logs.
+# Signals to the platform's processes. One that is stopped with requests in
+# progress answers each of them, or refuses its connection; one that is told to
+# reload while it starts does so. A non-empty KEEP keeps the folder of settings,
+# data and logs.
 set -euo pipefail
 build="${BUILD:-$(dirname "$0")/../build}"
 folder="$(mktemp -d)"
@@ -92,3 +93,23 @@
 wait "${clients[@]}"
 wait "${pid_of[m5]}"
 expect_answers "stop of a member" "$folder/member.txt"
+
+# SIGHUP arrives while a process still reads its settings.
+write_settings e6 127.7.0.6
+mkfifo "$folder/e6.fifo"
+BRONZEBARROW_NODE_FILE="$folder/e6.fifo" \
+  "$build/bronzebarrow-platform" entry 9464 >>"$folder/e6.log" 2>&1 &
+pids+=($!)
+pid_of[e6]=$!
+sleep 0.3
+kill -HUP "${pid_of[e6]}"
+sleep 0.1
+kill -0 "${pid_of[e6]}" 2>/dev/null ||
+  { echo "a reload during the start ended the process"; exit 1; }
+cat "$folder/e6.yaml" >"$folder/e6.fifo"
+mv "$folder/e6.yaml" "$folder/e6.fifo"
+await_port http://127.7.0.6:21002/v1/ready
+sleep 0.3
+grep -q 'settings_reloaded.*cause=.*signal' "$folder/e6.log" ||
+  { echo "a reload during the start was lost"; exit 1; }
+echo "reload during the start: settings read again"
