Feed the reload test's settings one read at a time

tests/process_stop.sh could hang: the process may read its settings again before the script has replaced the named pipe by a file, and then waits for a writer that never comes (seen once, on a busy machine). Each read now has a writer, and all waits are limited. The check that the process survives is unchanged.

--- a/tests/process_stop.sh
+++ b/tests/process_stop.sh
@@ -95,21 +95,32 @@
 expect_answers "stop of a member" "$folder/member.txt"
 
 # SIGHUP arrives while a process still reads its settings.
+send_settings() {
+  timeout 10 bash -c 'cat "$1.yaml" >"$1.fifo"' _ "$folder/e6" ||
+    { echo "the settings were not read"; exit 1; }
+}
+await_event() { # await_event PATTERN
+  for _ in $(seq 100); do
+    grep -q "$1" "$folder/e6.log" && return
+    sleep 0.05
+  done
+  echo "not logged: $1"
+  exit 1
+}
 write_settings e6 127.7.0.6
 mkfifo "$folder/e6.fifo"
 BRONZEBARROW_NODE_FILE="$folder/e6.fifo" \
   "$build/bronzebarrow-platform" entry 9464 >>"$folder/e6.log" 2>&1 &
 pids+=($!)
 pid_of[e6]=$!
-sleep 0.3
+sleep 1
 kill -HUP "${pid_of[e6]}"
 sleep 0.1
 kill -0 "${pid_of[e6]}" 2>/dev/null ||
   { echo "a reload during the start ended the process"; exit 1; }
-cat "$folder/e6.yaml" >"$folder/e6.fifo"
-mv "$folder/e6.yaml" "$folder/e6.fifo"
-await_port http://127.7.0.6:21002/v1/ready
-sleep 0.3
-grep -q 'settings_reloaded.*cause=.*signal' "$folder/e6.log" ||
-  { echo "a reload during the start was lost"; exit 1; }
+# Each read of the settings takes what one writer sends.
+send_settings
+await_event process_started
+send_settings
+await_event 'settings_reloaded.*cause=.*signal'
 echo "reload during the start: settings read again"
