Test calls across a reload and a leader that leaves the group

Suspected and ruled out as causes of requests without an answer: a reload of the settings with a call in progress keeps the connection and takes its reply; when the leader with the call leaves the group, its connection is closed, the next leader gets the call, and a late reply of the former one is ignored. Both tests passed without a change to the code.

The fixture now destroys the link and the member before their executor.

--- a/tests/leader_link_test.cc
+++ b/tests/leader_link_test.cc
@@ -21,7 +21,8 @@
 
 constexpr Duration kTestLimit = Millis(6000);
 
-/** A member that says it leads, and answers each call as scripted. */
+/** A member that answers each call as scripted, and sends its view when asked.
+ */
 class FakeMember {
  public:
   explicit FakeMember(asio::io_context& io) {
@@ -40,48 +41,65 @@
           });
     });
     m_acceptor = std::get<std::shared_ptr<net::Acceptor>>(listening);
+    m_view.members = {name()};
   }
 
   std::string name() const {
     return "127.0.0.1:" + std::to_string(m_acceptor->port());
   }
 
+  void SetView(std::uint64_t term, bool leading,
+               std::vector<std::string> members) {
+    m_view.term = term;
+    m_view.leading = leading;
+    m_view.members = std::move(members);
+    if (m_connection) {
+      SendView();
+    }
+  }
+
+  void ReplyToLastCall(wire::CallOutcome outcome) {
+    wire::FrameT frame;
+    frame.sender = name();
+    wire::CallReplyT reply;
+    reply.id = m_last_call;
+    reply.outcome = outcome;
+    frame.body.Set(std::move(reply));
+    m_connection->Send(frame);
+  }
+
   // By attempt; nothing: no reply. Attempts beyond the last get no reply.
   std::deque<std::optional<wire::CallOutcome>> m_script;
   int m_calls = 0;
 
  private:
+  void SendView() {
+    wire::FrameT frame;
+    frame.sender = name();
+    frame.body.Set(wire::GroupViewT(m_view));
+    m_connection->Send(frame);
+  }
+
   void OnFrame(const net::FrameConnectionPtr& from, const wire::FrameT& frame) {
-    wire::FrameT answer;
-    answer.sender = name();
+    m_connection = from;
     if (frame.body.type == wire::Body::ViewRequest) {
-      wire::GroupViewT view;
-      view.term = 1;
-      view.leading = true;
-      view.members = {name()};
-      answer.body.Set(std::move(view));
-      from->Send(answer);
-      return;
-    }
-    const auto* const call = frame.body.AsCall();
-    if (call == nullptr) {
-      return;
-    }
-    ++m_calls;
-    if (m_script.empty()) {
-      return;
-    }
-    const std::optional<wire::CallOutcome> outcome = m_script.front();
-    m_script.pop_front();
-    if (outcome) {
-      wire::CallReplyT reply;
-      reply.id = call->id;
-      reply.outcome = *outcome;
-      answer.body.Set(std::move(reply));
-      from->Send(answer);
+      SendView();
+    } else if (const auto* const call = frame.body.AsCall()) {
+      ++m_calls;
+      m_last_call = call->id;
+      if (!m_script.empty()) {
+        const std::optional<wire::CallOutcome> outcome = m_script.front();
+        m_script.pop_front();
+        if (outcome) {
+          ReplyToLastCall(*outcome);
+        }
+      }
     }
   }
 
+  wire::GroupViewT m_view;
+  net::FrameConnectionPtr m_connection;  // The last one that sent a frame.
+  std::uint64_t m_last_call = 0;
   std::shared_ptr<net::Acceptor> m_acceptor;
 };
 
@@ -92,12 +110,15 @@
   CPPUNIT_TEST(FirstRefusalIsReturned);
   CPPUNIT_TEST(CallOutlivesALeaderThatStepsDown);
   CPPUNIT_TEST(StopEndsCallsTruthfully);
+  CPPUNIT_TEST(ReloadKeepsCallsInProgress);
+  CPPUNIT_TEST(LeaderThatLeavesTheGroupLosesNoCall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     m_io = std::make_unique<asio::io_context>(1);
     m_member = std::make_unique<FakeMember>(*m_io);
+    m_member->SetView(1, true, {m_member->name()});
     m_link = std::make_unique<LeaderLink>(
         m_io->get_executor(), "entry",
         std::vector<std::string>{m_member->name()});
@@ -108,8 +129,9 @@
   void tearDown() override {
     m_link->Stop();
     m_io->run_for(Millis(20));
-    m_io.reset();
     m_link.reset();
+    m_member.reset();
+    m_io.reset();
   }
 
   // Guards against a submission that is executed by its first attempt, whose
@@ -165,6 +187,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), outcome->value());
   }
 
+  // Guards against a reload of the settings that loses the reply to a call.
+  void ReloadKeepsCallsInProgress() {
+    FakeMember other(*m_io);
+    const auto outcome = StartCall(Millis(2000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    m_link->SetSeeds({other.name()});
+    m_io->run_for(Millis(100));
+    m_member->ReplyToLastCall(wire::CallOutcome::Accepted);
+    RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
+    CPPUNIT_ASSERT_EQUAL(1, m_member->m_calls);
+  }
+
+  // Guards against a call that ends with the connection to a leader that is no
+  // longer a member, and against a late reply of that leader.
+  void LeaderThatLeavesTheGroupLosesNoCall() {
+    FakeMember next(*m_io);
+    next.SetView(1, false, {m_member->name(), next.name()});
+    m_link->SetSeeds({next.name()});
+    m_io->run_for(Millis(200));
+    const auto outcome = StartCall(Millis(3000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    next.SetView(2, true, {next.name()});
+    RunUntil([&] { return next.m_calls == 1; });
+    m_member->ReplyToLastCall(wire::CallOutcome::Refused);
+    m_io->run_for(Millis(100));
+    CPPUNIT_ASSERT(!outcome->has_value());
+    next.ReplyToLastCall(wire::CallOutcome::Accepted);
+    RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
+  }
+
  private:
   using OutcomeName = std::shared_ptr<std::optional<std::string>>;
 
