--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -25,6 +25,14 @@
 constexpr Duration kAttemptTimeout = Millis(700);
 constexpr Duration kNoLeaderRetryInterval = Millis(40);
 
+// Whether the leader's state decided against the call. An earlier attempt may
+// have met another state and been executed.
+bool IsRefusal(wire::CallOutcome outcome) {
+  return outcome == wire::CallOutcome::NotRun ||
+         outcome == wire::CallOutcome::Refused ||
+         outcome == wire::CallOutcome::NoQueue;
+}
+
 }  // namespace
 
 LeaderLink::LeaderLink(asio::any_io_executor executor, std::string own_name,
@@ -183,6 +191,7 @@
 
 asio::awaitable<wire::CallReplyT> LeaderLink::Call(wire::CallBodyUnion body,
                                                    Instant deadline) {
+  deadline = std::min(deadline, m_latest_deadline);
   const std::uint64_t id = m_next_id++;
   const auto pending = std::make_shared<PendingCall>(m_executor);
   wire::FrameT frame;
@@ -220,13 +229,19 @@
                     std::min(deadline - Now(), kNoLeaderRetryInterval));
       continue;
     }
+    if (pending->m_reply->outcome == wire::CallOutcome::Unknown) {
+      // The leader stepped down with the call uncommitted; the next leader
+      // knows what became of it.
+      maybe_executed = true;
+      co_await Wait(*pending,
+                    std::min(deadline - Now(), kNoLeaderRetryInterval));
+      continue;
+    }
     result = std::move(*pending->m_reply);
     break;
   }
   m_pending.erase(id);
-  const bool refused = result.outcome == wire::CallOutcome::NotRun ||
-                       result.outcome == wire::CallOutcome::Refused;
-  if (maybe_executed && refused) {
+  if (maybe_executed && IsRefusal(result.outcome)) {
     result.outcome = wire::CallOutcome::Unknown;
   }
   co_return result;
