Log each run that ends with its runner

A removed runner left one line with the number of its runs: nothing joined a task to the runners that crashed under it, and a crash and the end of a draining runner looked alike. Each run now has a run_ended line with its state and the time for which it was seen running; runner_removed tells whether the runner was draining and since when it had not answered. No decision changes.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -119,7 +119,7 @@
                   const char* cause, Instant now);
   void StopStalled(const std::string& runner, RunnerLink& link, Instant now);
   void ProposeRemoval(const std::string& runner, const RunnerLink& link,
-                      AnswerKind cause);
+                      AnswerKind cause, Instant now);
   void ProposeLostRuns(const std::string& runner, RunnerLink& link,
                        const std::vector<jobs::RunKey>& runs,
                        const char* cause);
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "bronzebarrow/base/enum_names.h"
 #include "bronzebarrow/base/time.h"
 #include "bronzebarrow/jobs.h"
 #include "bronzebarrow/runs/runner_health.h"
@@ -28,7 +29,9 @@
 struct TrackedRun {
   std::uint32_t m_run = 0;
   TrackedRunState m_state = TrackedRunState::kInherited;
-  std::uint32_t m_attempts = 0;   // Start calls sent.
+  std::uint32_t m_attempts = 0;  // Start calls sent.
+  // When a response first showed that it runs; unset before that.
+  Instant m_started_at;
   Instant m_confirmed_at;         // When a response last confirmed the state.
   bool m_call_in_flight = false;  // A start or stop call is in flight.
   bool m_stop_requested = false;
@@ -42,6 +45,13 @@
   std::uint32_t m_throttle_percent = 100;
   Instant m_reported_at;    // When it was last in a run list.
   Instant m_progressed_at;  // When m_progress last changed.
+
+  void MarkStarted(Instant now) {
+    m_state = TrackedRunState::kStarted;
+    if (m_started_at == Instant()) {
+      m_started_at = now;
+    }
+  }
 };
 
 /** State of one runner incarnation and its runs. */
@@ -71,4 +81,10 @@
 
 }  // namespace bronzebarrow::runs
 
+template <>
+struct bronzebarrow::EnumNames<bronzebarrow::runs::TrackedRunState> {
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "inherited", "starting", "started", "rejected", "end_proposed"};
+};
+
 #endif  // BRONZEBARROW_RUNS_RUNNER_LINK_H_
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -392,11 +392,28 @@
 }
 
 void Dispatcher::ProposeRemoval(const std::string& runner,
-                                const RunnerLink& link, AnswerKind cause) {
+                                const RunnerLink& link, AnswerKind cause,
+                                Instant now) {
+  const jobs::Runner* const known = m_state.FindRunner(runner);
   EventLine(Event::kRunnerRemoved, Severity::kWarning)
       .Field("runner", runner)
       .Field("cause", NameOf(cause))
+      .Field("draining", known != nullptr && known->m_record.draining)
+      .Field("silent_ms", ToMillis(now - link.m_last_answer))
       .Field("runs", link.m_tracked_runs.size());
+  for (const auto& [task, tracked] : link.m_tracked_runs) {
+    EventLine(Event::kRunEnded)
+        .Field("task", jobs::TaskText(task))
+        .Field("run", tracked.m_run)
+        .Field("runner", runner)
+        .Field("how", "lost")
+        .Field("cause", NameOf(cause))
+        .Field("state", NameOf(tracked.m_state))
+        .Field("seen_running_ms",
+               tracked.m_started_at == Instant()
+                   ? 0
+                   : ToMillis(link.m_last_answer - tracked.m_started_at));
+  }
   wire::RemoveRunnerT remove;
   remove.runner = runner;
   remove.born_ms = link.m_born_ms;
@@ -445,7 +462,7 @@
     link.m_hold_in_flight = false;
     ProposeRemoval(
         call.m_runner, link,
-        other_incarnation ? AnswerKind::kOtherIncarnation : answer.m_kind);
+        other_incarnation ? AnswerKind::kOtherIncarnation : answer.m_kind, now);
     return;
   }
   if (answer.m_kind == AnswerKind::kNoAnswer) {
@@ -490,7 +507,7 @@
   tracked.m_call_in_flight = false;
   tracked.m_confirmed_at = now;
   if (answer.m_kind == AnswerKind::kOk) {
-    tracked.m_state = TrackedRunState::kStarted;
+    tracked.MarkStarted(now);
     if (link.m_next_hold > now) {
       // The runner is no longer idle.
       link.m_next_hold = now;
@@ -597,7 +614,7 @@
     tracked->second.m_load = row.m_load;
     tracked->second.m_reported_at = now;
     if (tracked->second.m_state != TrackedRunState::kEndProposed) {
-      tracked->second.m_state = TrackedRunState::kStarted;
+      tracked->second.MarkStarted(now);
       tracked->second.m_confirmed_at = now;
     }
   }
