--- a/tests/load_model.cc
+++ b/tests/load_model.cc
@@ -13,6 +13,8 @@
 constexpr Duration kSyncTime = Millis(9);
 constexpr Duration kNetworkDelay = Millis(1);
 constexpr Duration kMoveTime = Millis(1500);
+// From the crash of a runner until its machine starts another one.
+constexpr Duration kRestartTime = Millis(3000);
 // Time for the election and the registration of the runners.
 constexpr Duration kWarmUp = Millis(3000);
 // Time after the last arrival in which jobs may end.
@@ -35,6 +37,7 @@
     total.m_late += queue.m_late;
     total.m_refused += queue.m_refused;
     total.m_useless += queue.m_useless;
+    total.m_failed += queue.m_failed;
   }
   return total;
 }
@@ -102,6 +105,19 @@
     if (m_now >= begin && m_now < begin + m_pattern.m_length) {
       Arrive();
     }
+    if (m_pattern.m_crash_interval != Duration::zero() && m_now >= begin &&
+        m_now >= m_next_crash) {
+      m_next_crash = m_now + m_pattern.m_crash_interval;
+      CrashRandomRunner();
+    }
+    const auto up = static_cast<std::size_t>(std::count_if(
+        m_machines.begin(), m_machines.end(),
+        [](const Machine& machine) { return machine.m_runner.has_value(); }));
+    if (m_now >= begin) {
+      m_result.m_least_runners = m_now < begin + kTimeStep
+                                     ? up
+                                     : std::min(m_result.m_least_runners, up);
+    }
     for (const Machine& machine : m_machines) {
       m_result.m_pool_seconds +=
           machine.m_pool == kStandby
@@ -212,6 +228,12 @@
   Submission& submission = m_submissions[id];
   submission.m_queue = queue.m_name;
   submission.m_sent_ms = VirtualMoment().m_wall_ms;
+  const Duration since = m_now - m_start - kWarmUp - queue.m_crashing_start;
+  submission.m_crashes_runners = queue.m_crashing_share > 0 &&
+                                 since >= Duration::zero() &&
+                                 since < queue.m_crashing_length &&
+                                 std::uniform_real_distribution<double>(
+                                     0, 1)(m_random) < queue.m_crashing_share;
   submission.m_objective_ms = static_cast<std::uint64_t>(
       kSlackFactor * queue.m_steps * queue.m_task_ms + kTargetMs);
   wire::CallBodyUnion body;
@@ -286,6 +308,14 @@
           m_pattern.m_queues.begin(), m_pattern.m_queues.end(),
           [&](const auto& q) { return q.m_name == submission.m_queue; });
       span = Millis(queue->m_task_ms);
+      const jobs::TaskKey& task = call.m_run.m_task;
+      const bool is_new = !runner.running().contains(task);
+      if (submission.m_crashes_runners && task.m_step == 0 &&
+          task.m_index == 0 && is_new) {
+        ++m_crashing_starts[task.m_job];
+        Schedule(queue->m_crash_delay,
+                 [this, id = call.m_runner] { Crash(id); });
+      }
     }
     answer = runner.Handle(call, m_now, span, false);
     if (call.m_kind == runs::CallKind::kHold && call.m_wait_ms > 0 &&
@@ -321,6 +351,25 @@
   }
 }
 
+void LoadModel::Crash(const std::string& runner) {
+  const auto found = m_machine_of_runner.find(runner);
+  if (found == m_machine_of_runner.end()) {
+    return;
+  }
+  Machine& machine = m_machines[found->second];
+  machine.m_runner.reset();
+  machine.m_ready_at = m_now + kRestartTime;
+  m_machine_of_runner.erase(found);
+  ++m_result.m_crashing.m_crashes;
+}
+
+void LoadModel::CrashRandomRunner() {
+  auto runner = m_machine_of_runner.begin();
+  std::advance(runner, m_random() % m_machine_of_runner.size());
+  const std::string id = runner->first;
+  Crash(id);
+}
+
 void LoadModel::HandleMachineRequest(const fleet::MachineRequest& request) {
   Machine& machine = m_machines.at(std::stoul(request.m_machine));
   if (machine.m_pool != request.m_pool) {
@@ -338,18 +387,36 @@
 }
 
 LoadResult LoadModel::Summarise() {
+  std::map<std::string, std::size_t> ended_jobs;
   for (const auto& [number, submission] : m_submissions) {
+    const jobs::Job* const job = m_core->state().FindJob(number);
+    const bool ended =
+        job != nullptr && job->m_state != jobs::JobState::kActive;
+    const bool failed =
+        job != nullptr && job->m_state == jobs::JobState::kFailed;
+    if (submission.m_crashes_runners) {
+      const std::size_t starts = m_crashing_starts[number];
+      CrashResult& crashing = m_result.m_crashing;
+      crashing.m_tasks += starts > 0 ? 1 : 0;
+      crashing.m_max_starts = std::max(crashing.m_max_starts, starts);
+      crashing.m_not_failed += submission.m_accepted && !failed ? 1 : 0;
+      continue;
+    }
     QueueResult& queue = m_result.m_queues[submission.m_queue];
     ++queue.m_submitted;
     if (!submission.m_accepted) {
       continue;
     }
-    const jobs::Job* const job = m_core->state().FindJob(number);
-    const bool ended =
-        job != nullptr && job->m_state != jobs::JobState::kActive;
+    queue.m_failed += failed ? 1 : 0;
     const std::uint64_t age_ms =
         ended ? job->m_ended_ms - submission.m_sent_ms
               : std::numeric_limits<std::uint64_t>::max();
+    if (ended) {
+      ++ended_jobs[submission.m_queue];
+      queue.m_mean_age_ms +=
+          (static_cast<double>(age_ms) - queue.m_mean_age_ms) /
+          static_cast<double>(ended_jobs[submission.m_queue]);
+    }
     if (age_ms <= submission.m_objective_ms) {
       ++queue.m_on_time;
     } else if (age_ms <= submission.m_objective_ms * 3) {
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -32,16 +32,25 @@
   Duration m_peak_start = Duration::zero();
   Duration m_peak_length = Duration::zero();
   std::size_t m_machines = 4;  // In its pool at the start.
+  // Share of the jobs that arrive from m_crashing_start on for
+  // m_crashing_length whose first task crashes its runner.
+  double m_crashing_share = 0;
+  Duration m_crashing_start = Duration::zero();
+  Duration m_crashing_length = Duration::zero();
+  // From the start of such a task to the crash.
+  Duration m_crash_delay = Millis(10);
 };
 
 struct LoadPattern {
   std::vector<QueuePattern> m_queues;
   std::size_t m_parked_machines = 0;   // In the standby pool at the start.
   Duration m_length = Millis(20'000);  // Time during which jobs arrive.
+  // Time between two crashes of runners without a cause; zero: there are none.
+  Duration m_crash_interval = Duration::zero();
   std::uint64_t m_seed = 1;
 };
 
-/** What became of the jobs of one queue. */
+/** What became of the jobs of one queue that crash no runner. */
 struct QueueResult {
   std::size_t m_submitted = 0;
   std::size_t m_on_time = 0;
@@ -53,12 +62,26 @@
   std::uint32_t m_min_retry_after_ms = 0;
   std::uint32_t m_max_retry_after_ms = 0;
   std::uint64_t m_slowest_refusal_ms = 0;
+  // Shown as failed, although no task of the model ends as failed.
+  std::size_t m_failed = 0;
+  // Mean time from submission to the end of the accepted jobs that ended.
+  double m_mean_age_ms = 0;
+};
+
+/** What became of the tasks that crash their runners. */
+struct CrashResult {
+  std::size_t m_crashes = 0;
+  std::size_t m_tasks = 0;       // That were started at least once.
+  std::size_t m_max_starts = 0;  // Of one of them.
+  std::size_t m_not_failed = 0;  // Their jobs that are not shown as failed.
 };
 
 struct LoadResult {
   std::map<std::string, QueueResult> m_queues;
   std::size_t m_moves = 0;
   double m_pool_seconds = 0;  // Machines in pools other than standby.
+  CrashResult m_crashing;
+  std::size_t m_least_runners = 0;  // Up at the same time, after the warm-up.
 
   QueueResult Total() const;
 };
@@ -88,6 +111,7 @@
     std::uint64_t m_objective_ms = 0;
     bool m_answered = false;
     bool m_accepted = false;
+    bool m_crashes_runners = false;  // Its first task does.
   };
   struct OpenHold {
     runs::RunnerCall m_call;
@@ -102,6 +126,9 @@
   void PerformActions();
   void HandleRunnerCall(const runs::RunnerCall& call);
   void CompleteHolds();
+  /** The runner ends now; its machine starts another one later. */
+  void Crash(const std::string& runner);
+  void CrashRandomRunner();
   void HandleMachineRequest(const fleet::MachineRequest& request);
   LoadResult Summarise();
   void Call(wire::CallBodyUnion body, std::uint64_t id);
@@ -120,6 +147,8 @@
   std::vector<OpenHold> m_holds;
   std::multimap<Instant, std::function<void()>> m_events;
   std::map<std::uint64_t, Submission> m_submissions;  // By job id and call id.
+  std::map<jobs::JobId, std::size_t> m_crashing_starts;  // By job.
+  Instant m_next_crash;
   std::uint64_t m_next_job = 1;
   LoadResult m_result;
 };
