Assign nothing to a runner whose removal is proposed

Ruled out: a late plan, since plans read usability when they are made. The link now remembers the proposal; it gets no runs and no calls.

RunnerThatIsGoneGetsNoFurtherRuns failed before (the runner was usable); dispatcher, work_core and work_state tests pass.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -118,7 +118,7 @@
   void Quarantine(const std::string& runner, RunnerLink& link,
                   const char* cause, Instant now);
   void StopStalled(const std::string& runner, RunnerLink& link, Instant now);
-  void ProposeRemoval(const std::string& runner, const RunnerLink& link,
+  void ProposeRemoval(const std::string& runner, RunnerLink& link,
                       AnswerKind cause, Instant now);
   void ProposeLostRuns(const std::string& runner, RunnerLink& link,
                        const std::vector<jobs::RunKey>& runs,
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -68,6 +68,9 @@
   // Leases of earlier owners have expired by then.
   Instant m_inherited_leases_expire;
   bool m_hold_in_flight = false;
+  // Its removal is proposed: nothing listens at its address, or another
+  // incarnation does. It gets no further calls.
+  bool m_removal_proposed = false;
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
   Instant m_next_hold;
   Instant m_last_answer;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -100,7 +100,8 @@
 
 bool Dispatcher::IsUsable(const std::string& runner, Instant now) const {
   const RunnerLink* const link = FindLink(runner);
-  return link != nullptr && link->m_fenced && !link->m_leases_expired &&
+  return link != nullptr && link->m_fenced && !link->m_removal_proposed &&
+         !link->m_leases_expired &&
          link->m_consecutive_timeouts < kUnresponsiveTimeouts &&
          now >= link->m_backoff_until && !link->m_health.IsQuarantined(now);
 }
@@ -350,7 +351,9 @@
     return;
   }
   for (auto& [runner, link] : m_links) {
-    TickLink(runner, link, now);
+    if (!link.m_removal_proposed) {
+      TickLink(runner, link, now);
+    }
   }
 }
 
@@ -391,9 +394,12 @@
   }
 }
 
-void Dispatcher::ProposeRemoval(const std::string& runner,
-                                const RunnerLink& link, AnswerKind cause,
-                                Instant now) {
+void Dispatcher::ProposeRemoval(const std::string& runner, RunnerLink& link,
+                                AnswerKind cause, Instant now) {
+  if (link.m_removal_proposed) {
+    return;
+  }
+  link.m_removal_proposed = true;
   const jobs::Runner* const known = m_state.FindRunner(runner);
   EventLine(Event::kRunnerRemoved, Severity::kWarning)
       .Field("runner", runner)
@@ -458,8 +464,6 @@
       answer.m_kind == AnswerKind::kOtherIncarnation ||
       (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms);
   if (other_incarnation || answer.m_kind == AnswerKind::kGone) {
-    link.m_next_hold = now + m_options.m_idle_hold_interval;
-    link.m_hold_in_flight = false;
     ProposeRemoval(
         call.m_runner, link,
         other_incarnation ? AnswerKind::kOtherIncarnation : answer.m_kind, now);
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(StalledRunsAreStopped);
   CPPUNIT_TEST(LongTasksHaveALongerStallTimeout);
   CPPUNIT_TEST(RunBeyondAFullListOfEndsIsNotLost);
+  CPPUNIT_TEST(RunnerThatIsGoneGetsNoFurtherRuns);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -160,6 +161,32 @@
     CPPUNIT_ASSERT(runner->m_assigned.empty());
   }
 
+  // Guards against runs that are assigned to a crashed runner until its removal
+  // is committed.
+  void RunnerThatIsGoneGetsNoFurtherRuns() {
+    Assign(1, 2, RunnerId(0));
+    m_now += Millis(2000);
+    m_dispatcher->Tick(m_now);
+    RunnerAnswer gone;
+    gone.m_kind = AnswerKind::kGone;
+    std::size_t calls = 0;
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      if (call.m_runner == RunnerId(0)) {
+        m_dispatcher->OnAnswer(call, gone, m_now);
+        m_dispatcher->OnAnswer(call, gone, m_now);
+        ++calls;
+      }
+    }
+    CPPUNIT_ASSERT(calls > 0);
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(RunnerId(0), m_now));
+    m_now += Millis(200);
+    m_dispatcher->Tick(m_now);
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      CPPUNIT_ASSERT(call.m_runner != RunnerId(0));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->TakeCommands().size());
+  }
+
  private:
   static std::string RunnerId(std::uint32_t number) {
     return "r" + std::to_string(number);
