--- a/include/bronzebarrow/base/event_log.h
+++ b/include/bronzebarrow/base/event_log.h
@@ -62,6 +62,7 @@
   kRunEnded,
   kRunRejected,
   kRunStopped,
+  kTaskGivenUp,
   kRunnerRegistered,
   kRunnerRemoved,
   kRunnerFenced,
@@ -82,7 +83,7 @@
 
 template <>
 struct EnumNames<Event> {
-  static constexpr std::array<std::string_view, 63> kNames = {
+  static constexpr std::array<std::string_view, 64> kNames = {
       "process_started",   "process_stopping",     "process_stopped",
       "settings_refused",  "role_changed",         "membership_changed",
       "snapshot_written",  "snapshot_installed",   "log_recovered",
@@ -98,12 +99,13 @@
       "leadership_lost",   "leadership_offered",   "ownership_taken",
       "job_accepted",      "job_refused",          "job_ended",
       "job_cancelled",     "run_assigned",         "run_ended",
-      "run_rejected",      "run_stopped",          "runner_registered",
-      "runner_removed",    "runner_fenced",        "runner_silent",
-      "runner_lapsed",     "runner_aside",         "call_uncertain",
-      "call_refused",      "upkeep_started",       "upkeep_step",
-      "machine_moved",     "pace_changed",         "advice_taken",
-      "readiness_changed", "disk_fault",           "summary",
+      "run_rejected",      "run_stopped",          "task_given_up",
+      "runner_registered", "runner_removed",       "runner_fenced",
+      "runner_silent",     "runner_lapsed",        "runner_aside",
+      "call_uncertain",    "call_refused",         "upkeep_started",
+      "upkeep_step",       "machine_moved",        "pace_changed",
+      "advice_taken",      "readiness_changed",    "disk_fault",
+      "summary",
   };
 };
 
--- a/include/bronzebarrow/jobs.h
+++ b/include/bronzebarrow/jobs.h
@@ -3,6 +3,7 @@
 #ifndef BRONZEBARROW_JOBS_H_
 #define BRONZEBARROW_JOBS_H_
 
+#include "bronzebarrow/jobs/crash_evidence.h"
 #include "bronzebarrow/jobs/job.h"
 #include "bronzebarrow/jobs/queue_table.h"
 #include "bronzebarrow/jobs/runner.h"
--- /dev/null
+++ b/include/bronzebarrow/jobs/crash_evidence.h
@@ -0,0 +1,68 @@
+// Decides which runs may have caused the crash of their runner and when a task
+// is given up for it. Load pattern: tasks that crash each runner soon after
+// they start, on runners with a dozen runs each, so that most tasks under a
+// crash are bystanders. Test: tests/crash_replay_test.cc.
+#ifndef BRONZEBARROW_JOBS_CRASH_EVIDENCE_H_
+#define BRONZEBARROW_JOBS_CRASH_EVIDENCE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bronzebarrow/base/time.h"
+#include "bronzebarrow/jobs/task_key.h"
+
+namespace bronzebarrow::jobs {
+
+/** A crash of a runner under a run of a task. */
+struct RunnerCrash {
+  std::string m_runner;
+  std::uint64_t m_time_ms = 0;  // Unix time at which it was recorded.
+  // Whether the run was in its trial period.
+  bool m_just_started = false;
+};
+
+/**
+ * @return the time after its start in which a run is the first suspect if its
+ * runner crashes. While a suspect is in it, its runner starts nothing else, so
+ * that a crash can have only one cause.
+ */
+Duration TrialPeriod(const std::vector<RunnerCrash>& crashes);
+
+/**
+ * A suspect is tried on a runner whose other runs have been running for this
+ * long, so that they are unlikely to be the cause of a crash.
+ */
+constexpr Duration kSettlingTime = Millis(500);
+
+/** @return whether the next run of a task with these crashes needs a trial. */
+bool IsSuspect(const std::vector<RunnerCrash>& crashes);
+
+/**
+ * @param conclusive whether no other run could have caused the last crash
+ * @return whether the task may not run again
+ */
+bool IsToBlame(const std::vector<RunnerCrash>& crashes, bool conclusive);
+
+/** A run that ended with its runner. */
+struct RunAtCrash {
+  RunKey m_run;
+  // For how long it was seen running; zero if its start was not confirmed.
+  Duration m_seen_running = Duration::zero();
+  Duration m_trial_period = Duration::zero();  // Of its task.
+  // Whether its task is started together with the others of its step.
+  bool m_gang = false;
+};
+
+struct CrashEvidence {
+  std::vector<RunKey> m_new_runs;    // In their trial period.
+  std::vector<RunKey> m_older_runs;  // Past it, but not beyond suspicion.
+  // Whether m_new_runs are those of one task or of one gang.
+  bool m_conclusive = false;
+};
+
+CrashEvidence AssessCrash(const std::vector<RunAtCrash>& runs);
+
+}  // namespace bronzebarrow::jobs
+
+#endif  // BRONZEBARROW_JOBS_CRASH_EVIDENCE_H_
--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "bronzebarrow/jobs/crash_evidence.h"
 #include "bronzebarrow/jobs/task_key.h"
 #include "wire_generated.h"
 
@@ -26,6 +27,8 @@
   std::uint32_t m_run = 0;  // Number of the last run, 0: none; never decreases.
   std::string m_runner;     // Runner id of the last run.
   std::string m_checkpoint;  // Last reported checkpoint; empty: none.
+  // Crashes of runners that its runs may have caused, in the order of time.
+  std::vector<RunnerCrash> m_crashes;
 };
 
 struct StepState {
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -30,6 +31,8 @@
   std::vector<RunKey> m_assigned;
   /** Runs whose end the command recorded. */
   std::vector<RunKey> m_ended;
+  /** Runs whose tasks the command gave up because they crash runners. */
+  std::vector<RunKey> m_given_up;
   /** Jobs that the command completed, failed or cancelled. */
   std::vector<JobId> m_jobs_ended;
 };
@@ -74,6 +77,11 @@
   const JobIndex& startable() const { return m_startable; }
   /** Active periodic jobs with occurrences that are not opened yet. */
   const JobIndex& periodic() const { return m_periodic; }
+  /**
+   * Tasks of active jobs that are not done and may have crashed a runner; see
+   * IsSuspect. Tasks of gangs are left out.
+   */
+  const std::set<TaskKey>& suspects() const { return m_suspects; }
   /** @return the runners of the pool, by id. */
   const RunnerIndex& RunnersOfPool(const std::string& pool) const;
   /**
@@ -116,6 +124,14 @@
               const std::string& checkpoint, ApplyResult& applied);
   // Records all runs of the runner as lost.
   void EndRunsAsLost(Runner& runner, ApplyResult& applied);
+  // Adds the crash of `runner` to the tasks of these runs.
+  void RecordCrash(const std::vector<wire::TaskRef>& runs, bool just_started,
+                   const Runner& runner);
+  // Ends the jobs of tasks that are to blame for the crash.
+  void GiveUpTasksToBlame(const wire::RemoveRunnerT& remove,
+                          ApplyResult& applied);
+  // Updates the task's entry in m_suspects.
+  void UpdateSuspects(const Job& job, const TaskKey& key);
   // Updates task and job for a run that ended as done or failed. A lost or
   // stopped run and a long-running task need no update.
   void ApplyRunEnd(Job& job, const TaskKey& key, wire::EndKind how,
@@ -162,6 +178,7 @@
   // what is stored.
   JobIndex m_startable;
   JobIndex m_periodic;
+  std::set<TaskKey> m_suspects;
   // By queue: active jobs that never had a run assigned.
   std::map<std::string, std::uint32_t> m_unstarted;
   Runners m_runners;
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -86,6 +86,12 @@
                 fleet::MachineResponse answer, Instant now);
   /** @return whether the runner may be assigned new runs. */
   bool AcceptsWork(const jobs::Runner& runner) const;
+  /**
+   * @return whether the runner may have ended because a move or an upkeep of
+   * its machine was requested, by this owner or shortly before by an earlier
+   * one
+   */
+  bool IsDownAsRequested(const jobs::Runner& runner) const;
   /** @return whether an upkeep of the machine is due in some wave. */
   bool IsUpkeepDue(const std::string& machine) const;
 
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bronzebarrow/base/time.h"
@@ -117,6 +118,13 @@
   const jobs::WorkState& state() const { return m_state; }
   const runs::Dispatcher& dispatcher() const { return m_dispatcher; }
   std::uint64_t applied_index() const { return m_applied_index; }
+  /**
+   * @return how many tasks the applied commands have given up since the last
+   * call because they crash runners; zero on a member that does not lead
+   */
+  std::uint64_t TakeTasksGivenUp() {
+    return std::exchange(m_tasks_given_up, 0);
+  }
 
  private:
   /** A call that is answered once its command is applied. */
@@ -167,6 +175,7 @@
   void HandOffIfDiskStalled();
   void ApplyCommitted();
   void ApplyEntry(const wire::LogEntryT& entry);
+  void LogGivenUp(const jobs::RunKey& run);
   void CompactIfDue();
   void TakeDispatcherCommands();
   void PlanAssignments();
@@ -189,6 +198,7 @@
   std::optional<Instant> m_sync_started;
   Instant m_next_leadership_offer;
   std::uint64_t m_applied_index = 0;
+  std::uint64_t m_tasks_given_up = 0;  // Not yet taken.
   std::uint64_t m_last_compacted = 0;
   std::uint64_t m_last_term = 0;
   consensus::Role m_last_role = consensus::Role::kLearner;
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -28,6 +28,8 @@
   std::string_view m_rack;
   bool m_reserved = false;  // For a long-running task that does not fit yet.
   std::uint32_t m_step_tasks = 0;  // Its tasks of the step being placed.
+  // Runs the trial of a suspect, or will: gets nothing else.
+  bool m_kept_for_trial = false;
 };
 
 /** Runs to assign to one runner. */
@@ -61,6 +63,12 @@
    * placed elsewhere if possible.
    */
   std::function<bool(const std::string& machine)> m_goes_down_soon;
+  /**
+   * Whether a suspect is tried on the runner, and whether any run there is
+   * younger than jobs::kSettlingTime.
+   */
+  std::function<bool(const jobs::Runner& runner)> m_is_trying;
+  std::function<bool(const jobs::Runner& runner)> m_has_unsettled_run;
   Adviser* m_adviser = nullptr;  // Null: queues that need advice get no runs.
   // Limit per plan, which bounds its log record. A gang is placed whole and may
   // exceed it.
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -5,6 +5,7 @@
 #define BRONZEBARROW_RUNS_DISPATCHER_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -77,6 +78,18 @@
    * `task`. Called before the run is assigned.
    */
   void SetTicket(const jobs::TaskKey& task, std::string ticket);
+  /**
+   * The runner reports that it has started again: its earlier incarnation has
+   * crashed and is removed.
+   */
+  void OnRestarted(const std::string& runner, Instant now);
+  /**
+   * @param check whether the runner's machine may be down because the owner
+   * requested a move or an upkeep, so that its end is no crash
+   */
+  void SetDownAsRequested(std::function<bool(const jobs::Runner&)> check) {
+    m_is_down_as_requested = std::move(check);
+  }
   /** Throttles a run to `percent` of its full rate. */
   void Throttle(const std::string& runner, const jobs::TaskKey& task,
                 std::uint32_t percent, Instant now);
@@ -94,10 +107,21 @@
 
   /** @return whether new runs may be assigned to the runner now. */
   bool IsUsable(const std::string& runner, Instant now) const;
+  /**
+   * @return whether the run of a suspect (jobs::IsSuspect) is in its trial
+   * period there, so that no other run may be assigned to the runner
+   */
+  bool IsTrying(const std::string& runner, Instant now) const;
+  /** @return whether any run there is younger than jobs::kSettlingTime. */
+  bool HasUnsettledRun(const std::string& runner, Instant now) const;
   const RunnerLink* FindLink(const std::string& runner) const;
 
  private:
   void RefreshLink(const std::string& runner, Instant now);
+  // Adds the task to the link's trials if it is a suspect.
+  void AddTrial(RunnerLink& link, const jobs::TaskKey& task) const;
+  Duration TrialPeriodOf(const jobs::TaskKey& task) const;
+  jobs::CrashEvidence AssessCrash(const RunnerLink& link) const;
   Instant LeaseExpiry(const RunnerLink& link) const;
   RunnerCall MakeCall(CallKind kind, const std::string& runner,
                       RunnerLink& link, Instant now) const;
@@ -129,6 +153,7 @@
 
   const jobs::WorkState& m_state;
   DispatcherOptions m_options;
+  std::function<bool(const jobs::Runner&)> m_is_down_as_requested;
   std::uint64_t m_epoch = 0;  // Fencing token; 0: not the owner.
   // One per registered runner. Looked up for each candidate of each plan.
   std::unordered_map<std::string, RunnerLink> m_links;
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "bronzebarrow/base/enum_names.h"
 #include "bronzebarrow/base/time.h"
@@ -74,12 +75,17 @@
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
   Instant m_next_hold;
   Instant m_last_answer;
+  // When its process was last known to run: its last answer, or the time at
+  // which a hold that it kept open broke.
+  Instant m_alive_until;
   std::uint32_t m_consecutive_timeouts = 0;
   // All leases have expired, so none of its runs is running.
   bool m_leases_expired = false;
   Instant m_backoff_until;  // No new runs until then; it refused one.
   RunnerHealth m_health;
   std::unordered_map<jobs::TaskKey, TrackedRun> m_tracked_runs;
+  // Tasks among them that may have crashed an earlier runner.
+  std::vector<jobs::TaskKey> m_trials;
 };
 
 }  // namespace bronzebarrow::runs
--- /dev/null
+++ b/src/jobs/crash_evidence.cc
@@ -0,0 +1,74 @@
+// Suspects of a crash, their trial periods and the limit of crashes.
+#include "bronzebarrow/jobs/crash_evidence.h"
+
+#include <algorithm>
+
+namespace bronzebarrow::jobs {
+namespace {
+
+// A task that crashes its runner does so soon after its start. A longer period
+// makes more bystanders suspects and occupies a runner for longer with each.
+constexpr Duration kTrialPeriod = Millis(30);
+// From this number of crashes on a task is tried for longer, because it may be
+// one that crashes its runner later.
+constexpr std::size_t kCrashesToLongTrial = 3;
+// A run that has lasted this long is not suspected: over days, long-running
+// tasks are on many runners that crash for other reasons.
+constexpr Duration kLongTrialPeriod = Millis(10'000);
+// Crashes just after the start before a task is given up. One may be caused by
+// a neighbour or by the runner itself.
+constexpr std::ptrdiff_t kCrashesInTrial = 2;
+// A task is given up after this many crashes even if none was conclusive: the
+// users allow two further starts after three crashes.
+constexpr std::size_t kMaxCrashes = 5;
+
+bool BelongTogether(const RunAtCrash& a, const RunAtCrash& b) {
+  return a.m_gang && b.m_gang && a.m_run.m_task.m_job == b.m_run.m_task.m_job &&
+         a.m_run.m_task.m_occurrence == b.m_run.m_task.m_occurrence &&
+         a.m_run.m_task.m_step == b.m_run.m_task.m_step;
+}
+
+std::ptrdiff_t CountInTrial(const std::vector<RunnerCrash>& crashes) {
+  return std::count_if(
+      crashes.begin(), crashes.end(),
+      [](const RunnerCrash& crash) { return crash.m_just_started; });
+}
+
+}  // namespace
+
+Duration TrialPeriod(const std::vector<RunnerCrash>& crashes) {
+  return crashes.size() < kCrashesToLongTrial ? kTrialPeriod : kLongTrialPeriod;
+}
+
+bool IsSuspect(const std::vector<RunnerCrash>& crashes) {
+  return CountInTrial(crashes) > 0 || crashes.size() >= kCrashesToLongTrial;
+}
+
+bool IsToBlame(const std::vector<RunnerCrash>& crashes, bool conclusive) {
+  if (crashes.size() >= kMaxCrashes) {
+    return true;
+  }
+  return conclusive && (CountInTrial(crashes) >= kCrashesInTrial ||
+                        crashes.size() > kCrashesToLongTrial);
+}
+
+CrashEvidence AssessCrash(const std::vector<RunAtCrash>& runs) {
+  CrashEvidence evidence;
+  const RunAtCrash* first_new = nullptr;
+  for (const RunAtCrash& run : runs) {
+    if (run.m_seen_running >= run.m_trial_period) {
+      if (run.m_seen_running < kLongTrialPeriod) {
+        evidence.m_older_runs.push_back(run.m_run);
+      }
+      continue;
+    }
+    evidence.m_conclusive =
+        first_new == nullptr ||
+        (evidence.m_conclusive && BelongTogether(*first_new, run));
+    first_new = first_new == nullptr ? &run : first_new;
+    evidence.m_new_runs.push_back(run.m_run);
+  }
+  return evidence;
+}
+
+}  // namespace bronzebarrow::jobs
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -30,6 +30,13 @@
         task_image->run = task.m_run;
         task_image->runner = task.m_runner;
         task_image->checkpoint = task.m_checkpoint;
+        for (const RunnerCrash& crash : task.m_crashes) {
+          auto crash_image = std::make_unique<wire::RunnerCrashT>();
+          crash_image->runner = crash.m_runner;
+          crash_image->time_ms = crash.m_time_ms;
+          crash_image->just_started = crash.m_just_started;
+          task_image->crashes.push_back(std::move(crash_image));
+        }
         step_image->tasks.push_back(std::move(task_image));
       }
       occurrence_image->steps.push_back(std::move(step_image));
@@ -50,6 +57,10 @@
       task.m_run = task_image->run;
       task.m_runner = task_image->runner;
       task.m_checkpoint = task_image->checkpoint;
+      for (const auto& crash : task_image->crashes) {
+        task.m_crashes.push_back(
+            {crash->runner, crash->time_ms, crash->just_started});
+      }
       step.m_waiting += task.m_state == TaskState::kWaiting ? 1 : 0;
       step.m_assigned += task.m_state == TaskState::kAssigned ? 1 : 0;
       step.m_done += task.m_state == TaskState::kDone ? 1 : 0;
@@ -114,6 +125,7 @@
   m_startable.clear();
   m_periodic.clear();
   m_unstarted.clear();
+  m_suspects.clear();
   m_runners.clear();
   m_runners_by_pool.clear();
   m_latest_runner_of_machine.clear();
@@ -157,13 +169,14 @@
       for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
         const auto& tasks = occurrence.m_steps[step].m_tasks;
         for (std::size_t index = 0; index < tasks.size(); ++index) {
+          const TaskKey key = {id, number, static_cast<std::uint16_t>(step),
+                               static_cast<std::uint16_t>(index)};
+          UpdateSuspects(job, key);
           const auto runner = m_runners.find(tasks[index].m_runner);
           if (tasks[index].m_state == TaskState::kAssigned &&
               runner != m_runners.end()) {
-            AddAssignment({{id, number, static_cast<std::uint16_t>(step),
-                            static_cast<std::uint16_t>(index)},
-                           tasks[index].m_run},
-                          *job.m_spec.steps[step], runner->second);
+            AddAssignment({key, tasks[index].m_run}, *job.m_spec.steps[step],
+                          runner->second);
           }
         }
       }
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -160,6 +160,13 @@
       return "unstarted jobs of " + queue;
     }
   }
+  for (const TaskKey& key : m_suspects) {
+    const Job* const job = FindJob(key.m_job);
+    const Task* const task = job == nullptr ? nullptr : job->FindTask(key);
+    if (task == nullptr || !IsSuspect(task->m_crashes)) {
+      return "suspects";
+    }
+  }
   std::map<std::string, RunnerIndex> by_pool;
   for (const auto& [id, runner] : m_runners) {
     by_pool[runner.m_record.pool][id] = &runner;
@@ -349,6 +356,7 @@
       task.m_state = TaskState::kDone;
       --step.m_waiting;
       ++step.m_done;
+      UpdateSuspects(job, key);
     }
     FinishOccurrenceIfDone(job, key.m_occurrence, applied);
     return;
@@ -432,6 +440,9 @@
     }
     m_acceptance_numbers.erase(number);
   }
+  std::erase_if(m_suspects, [&](const TaskKey& suspect) {
+    return suspect.m_job == job.m_id;
+  });
   applied.m_jobs_ended.push_back(job.m_id);
 }
 
@@ -461,63 +472,6 @@
   }
 }
 
-void WorkState::EndRunsAsLost(Runner& runner, ApplyResult& applied) {
-  const auto assigned = runner.m_assigned;
-  for (const auto& [task, run] : assigned) {
-    EndRun({task, run}, runner.m_record.id, wire::EndKind::Lost, "", applied);
-  }
-}
-
-void WorkState::RegisterRunner(const wire::WorkBodyUnion& body,
-                               ApplyResult& applied) {
-  const auto& record = body.AsRegisterRunner()->runner;
-  if (!record) {
-    return;
-  }
-  applied.m_runner = record->id;
-  auto existing = m_runners.find(record->id);
-  if (existing != m_runners.end()) {
-    const wire::RunnerRecordT& current = existing->second.m_record;
-    if (record->born_ms < current.born_ms ||
-        (record->born_ms == current.born_ms &&
-         record->sequence < current.sequence)) {
-      return;
-    }
-    if (record->born_ms > current.born_ms) {
-      EndRunsAsLost(existing->second, applied);
-      existing->second.m_last_recorded_end = 0;
-    }
-  } else {
-    existing = m_runners.emplace(record->id, Runner()).first;
-  }
-  const std::string previous_machine = existing->second.m_record.machine;
-  RemoveFromPoolIndex(existing->second);
-  existing->second.m_record = *record;
-  m_runners_by_pool[record->pool][record->id] = &existing->second;
-  UpdateMachineIndex(record->machine);
-  if (previous_machine != record->machine) {
-    UpdateMachineIndex(previous_machine);
-  }
-  applied.m_changed = true;
-}
-
-void WorkState::RemoveRunner(const wire::WorkBodyUnion& body,
-                             ApplyResult& applied) {
-  const wire::RemoveRunnerT& remove = *body.AsRemoveRunner();
-  applied.m_runner = remove.runner;
-  const auto runner = m_runners.find(remove.runner);
-  if (runner == m_runners.end() ||
-      runner->second.m_record.born_ms != remove.born_ms) {
-    return;
-  }
-  EndRunsAsLost(runner->second, applied);
-  const std::string machine = runner->second.m_record.machine;
-  RemoveFromPoolIndex(runner->second);
-  m_runners.erase(runner);
-  UpdateMachineIndex(machine);
-  applied.m_changed = true;
-}
-
 void WorkState::OpenOccurrences(const wire::WorkBodyUnion& body,
                                 ApplyResult& applied) {
   const wire::OpenOccurrencesT& open = *body.AsOpenOccurrences();
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -74,6 +74,14 @@
          runner.m_record.born_ms == operation.m_born_ms;
 }
 
+bool MachinePlanner::IsDownAsRequested(const jobs::Runner& runner) const {
+  const std::string& machine = runner.m_record.machine;
+  const auto operation = m_operations.find(machine);
+  return (operation != m_operations.end() && operation->second.m_request_sent &&
+          IsDrainedIncarnation(operation->second, runner)) ||
+         !IsHandoverOver(machine);
+}
+
 bool MachinePlanner::IsUpkeepDue(const std::string& machine) const {
   return std::any_of(m_state.waves().begin(), m_state.waves().end(),
                      [&](const auto& item) {
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -246,6 +246,9 @@
 }
 
 void MemberNode::PerformActions() {
+  if (const std::uint64_t given_up = m_core->TakeTasksGivenUp()) {
+    m_metrics.Count("bronzebarrow_tasks_given_up_total", "", given_up);
+  }
   for (consensus::Outgoing& message : m_core->TakePeerMessages()) {
     wire::FrameT frame;
     frame.sender = m_id.m_name;
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -310,6 +310,10 @@
     Reply(source, call_id, wire::CallOutcome::Accepted);
     return;
   }
+  if (registered != nullptr && born_ms > registered->m_record.born_ms) {
+    m_dispatcher.OnRestarted(id, m_moment.m_now);
+    TakeDispatcherCommands();
+  }
   EventLine(Event::kRunnerRegistered)
       .Field("runner", id)
       .Field("born", born_ms)
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -41,6 +41,9 @@
       m_advice_cache(m_state),
       m_moment(moment),
       m_next_token(m_options.m_first_token) {
+  m_dispatcher.SetDownAsRequested([this](const jobs::Runner& runner) {
+    return m_machine_planner.IsDownAsRequested(runner);
+  });
   ApplyCommitted();
 }
 
@@ -367,6 +370,9 @@
     } else if (applied.m_kind == wire::WorkBody::OpenOccurrences) {
       m_pending_openings.erase(applied.m_job);
     }
+    for (const jobs::RunKey& run : applied.m_given_up) {
+      LogGivenUp(run);
+    }
     for (const jobs::JobId id : applied.m_jobs_ended) {
       const jobs::Job& job = *m_state.FindJob(id);
       EventLine(Event::kJobEnded)
@@ -385,6 +391,24 @@
   }
 }
 
+void WorkCore::LogGivenUp(const jobs::RunKey& run) {
+  ++m_tasks_given_up;
+  const jobs::Job& job = *m_state.FindJob(run.m_task.m_job);
+  std::string runners;
+  std::string ages_ms;
+  for (const jobs::RunnerCrash& crash : job.FindTask(run.m_task)->m_crashes) {
+    const std::string separator = runners.empty() ? "" : ",";
+    runners += separator + crash.m_runner;
+    ages_ms += separator + std::to_string(crash.m_time_ms - job.m_accepted_ms);
+  }
+  EventLine(Event::kTaskGivenUp, Severity::kWarning)
+      .Field("task", jobs::TaskText(run.m_task))
+      .Field("run", run.m_run)
+      .Field("queue", job.m_queue)
+      .Field("crashed_runners", runners)
+      .Field("crash_ages_ms", ages_ms);
+}
+
 void WorkCore::CompactIfDue() {
   if (m_applied_index < m_last_compacted + m_options.m_snapshot_entries ||
       m_replica.HasBatch()) {
@@ -420,6 +444,12 @@
     return m_dispatcher.IsUsable(runner.m_record.id, m_moment.m_now) &&
            m_machine_planner.AcceptsWork(runner);
   };
+  input.m_is_trying = [this](const jobs::Runner& runner) {
+    return m_dispatcher.IsTrying(runner.m_record.id, m_moment.m_now);
+  };
+  input.m_has_unsettled_run = [this](const jobs::Runner& runner) {
+    return m_dispatcher.HasUnsettledRun(runner.m_record.id, m_moment.m_now);
+  };
   input.m_goes_down_soon = [this](const std::string& machine) {
     return m_machine_planner.IsUpkeepDue(machine);
   };
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -23,6 +23,10 @@
                                         : runner.m_record.labels.back();
 }
 
+// At most one in this many runners of a pool tries a suspect at a time, so that
+// suspects that crash their runners leave the pool most of them.
+constexpr std::size_t kTrialShareDivisor = 3;
+
 /** One pass of planning over all pools. */
 class PlanningPass {
  public:
@@ -36,6 +40,26 @@
     }
   }
 
+  // Suspects are placed before all other tasks: these would start anew on each
+  // runner, so that no crash could be traced to one task.
+  void PlaceSuspects() {
+    for (const jobs::TaskKey& key : m_input.m_state.suspects()) {
+      const jobs::Job& job = *m_input.m_state.FindJob(key.m_job);
+      const jobs::Occurrence& occurrence =
+          job.m_occurrences.at(key.m_occurrence);
+      const wire::QueueSpecT* const queue =
+          m_input.m_state.queues().Find(job.m_queue);
+      const auto pool =
+          queue == nullptr ? m_pools.end() : m_pools.find(queue->pool);
+      const jobs::StepState& step = occurrence.m_steps[key.m_step];
+      if (pool != m_pools.end() &&
+          step.m_tasks[key.m_index].m_state == jobs::TaskState::kWaiting &&
+          job.IsStepReady(occurrence, key.m_step)) {
+        PlaceSuspect({&job, queue}, key, step, pool->second);
+      }
+    }
+  }
+
   void PlaceJob(const RankedJob& ranked) {
     const jobs::Job& job = *ranked.m_job;
     const auto pool = m_pools.find(ranked.m_queue->pool);
@@ -71,6 +95,8 @@
     // may reserve a full runner.
     std::optional<jobs::Resources> m_least_need;
     std::vector<Candidate> m_candidates;
+    std::size_t m_runners = 0;  // Usable, whether they are candidates or not.
+    std::size_t m_trials = 0;   // Runners that try a suspect, or will.
     // Needs of steps without further constraints that fit on no runner. Steps
     // that need at least as much per task are skipped, because free capacity
     // only shrinks during a pass.
@@ -108,8 +134,15 @@
   void AddCandidates(const std::string& name, Pool& pool) {
     for (const auto& [id, runner] : m_input.m_state.RunnersOfPool(name)) {
       const jobs::Resources free = runner->FreeResources();
-      if (runner->m_record.draining || !pool.m_least_need ||
-          !free.Fits(*pool.m_least_need) || !m_input.m_is_usable(*runner)) {
+      if (runner->m_record.draining || !pool.m_least_need) {
+        continue;
+      }
+      ++pool.m_runners;
+      if (m_input.m_is_trying && m_input.m_is_trying(*runner)) {
+        ++pool.m_trials;
+        continue;
+      }
+      if (!free.Fits(*pool.m_least_need) || !m_input.m_is_usable(*runner)) {
         continue;
       }
       const bool goes_down_soon =
@@ -130,11 +163,9 @@
       return;
     }
     std::vector<Candidate>& candidates = pool.m_candidates;
-    std::map<std::string_view, std::uint32_t> tasks_on_rack;
     const bool counts_per_runner = spec.lasting || spec.max_per_runner > 0;
-    if (counts_per_runner || spec.same_rack) {
-      CountStepTasks(state, candidates, tasks_on_rack);
-    }
+    std::map<std::string_view, std::uint32_t> tasks_on_rack =
+        CountStepTasks(spec, state, candidates);
     std::vector<std::pair<Candidate*, jobs::RunKey>> chosen;
     // Without a limit per runner, the candidate of the previous task stays the
     // best one until it is full: its rack and its fill only count for it.
@@ -152,7 +183,8 @@
     }
     for (std::size_t index = 0; index < state.m_tasks.size(); ++index) {
       const jobs::Task& task = state.m_tasks[index];
-      if (task.m_state != jobs::TaskState::kWaiting) {
+      if (task.m_state != jobs::TaskState::kWaiting ||
+          (!spec.gang && jobs::IsSuspect(task.m_crashes))) {
         continue;
       }
       const jobs::TaskKey key = {ranked.m_job->m_id, number,
@@ -196,12 +228,57 @@
       }
     }
     for (const auto& [candidate, run] : chosen) {
-      const wire::RunnerRecordT& record = candidate->m_runner->m_record;
-      Placement& placement = m_placements[record.id];
-      placement.m_runner = record.id;
-      placement.m_born_ms = record.born_ms;
-      placement.m_runs.push_back(run);
-      ++m_runs;
+      AddPlacement(*candidate, run);
+    }
+  }
+
+  void AddPlacement(const Candidate& candidate, const jobs::RunKey& run) {
+    const wire::RunnerRecordT& record = candidate.m_runner->m_record;
+    Placement& placement = m_placements[record.id];
+    placement.m_runner = record.id;
+    placement.m_born_ms = record.born_ms;
+    placement.m_runs.push_back(run);
+    ++m_runs;
+  }
+
+  // Places the suspect on a runner whose runs have all settled. If there is
+  // none, keeps the best runner free of new runs until they have.
+  void PlaceSuspect(const RankedJob& ranked, const jobs::TaskKey& key,
+                    const jobs::StepState& state, Pool& pool) {
+    const std::size_t limit =
+        std::max<std::size_t>(pool.m_runners / kTrialShareDivisor, 1);
+    if (pool.m_trials >= limit || HasReachedMaxRuns()) {
+      return;
+    }
+    const wire::StepSpecT& spec = *ranked.m_job->m_spec.steps[key.m_step];
+    const jobs::Task& task = state.m_tasks[key.m_index];
+    const jobs::Resources need = jobs::ResourcesOf(spec);
+    const auto tasks_on_rack = CountStepTasks(spec, state, pool.m_candidates);
+    std::vector<Candidate> settled;
+    for (const Candidate& candidate : pool.m_candidates) {
+      if (!candidate.m_kept_for_trial &&
+          !(m_input.m_has_unsettled_run &&
+            m_input.m_has_unsettled_run(*candidate.m_runner))) {
+        settled.push_back(candidate);
+      }
+    }
+    const Candidate* const ready = FindBestCandidate(
+        ranked, key, spec, task, need, tasks_on_rack, settled);
+    const Candidate* const best =
+        ready != nullptr ? ready
+                         : FindBestCandidate(ranked, key, spec, task, need,
+                                             tasks_on_rack, pool.m_candidates);
+    if (best == nullptr) {
+      return;
+    }
+    ++pool.m_trials;
+    if (ready != nullptr) {
+      AddPlacement(*ready, {key, task.m_run + 1});
+    }
+    for (Candidate& candidate : pool.m_candidates) {
+      if (candidate.m_runner == best->m_runner) {
+        candidate.m_kept_for_trial = true;
+      }
     }
   }
 
@@ -238,7 +315,8 @@
     for (Candidate& candidate : candidates) {
       const jobs::Runner& runner = *candidate.m_runner;
       const std::string& id = runner.m_record.id;
-      const bool is_kept_free = candidate.m_reserved && !spec.lasting;
+      const bool is_kept_free =
+          candidate.m_kept_for_trial || (candidate.m_reserved && !spec.lasting);
       if (is_kept_free || !candidate.m_free.Fits(need) ||
           !MeetsConstraints(spec, candidate)) {
         continue;
@@ -285,7 +363,8 @@
                             std::vector<Candidate>& candidates) {
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
-      if (candidate.m_reserved || candidate.m_goes_down_soon ||
+      if (candidate.m_reserved || candidate.m_kept_for_trial ||
+          candidate.m_goes_down_soon ||
           !candidate.m_free_without_finite.Fits(need) ||
           !MeetsConstraints(spec, candidate)) {
         continue;
@@ -308,15 +387,20 @@
             candidate.m_step_tasks < spec.max_per_runner);
   }
 
-  // Counts the assigned tasks of the step by runner and rack.
-  void CountStepTasks(
-      const jobs::StepState& state, std::vector<Candidate>& candidates,
-      std::map<std::string_view, std::uint32_t>& tasks_on_rack) const {
+  // Counts the assigned tasks of the step by runner, if that matters to the
+  // step. @return their number by rack
+  std::map<std::string_view, std::uint32_t> CountStepTasks(
+      const wire::StepSpecT& spec, const jobs::StepState& state,
+      std::vector<Candidate>& candidates) const {
+    std::map<std::string_view, std::uint32_t> tasks_on_rack;
+    if (!spec.lasting && spec.max_per_runner == 0 && !spec.same_rack) {
+      return tasks_on_rack;
+    }
     for (Candidate& candidate : candidates) {
       candidate.m_step_tasks = 0;
     }
     if (state.m_assigned == 0) {
-      return;
+      return tasks_on_rack;
     }
     std::map<std::string_view, std::uint32_t> tasks_on_runner;
     for (const jobs::Task& task : state.m_tasks) {
@@ -332,6 +416,7 @@
       candidate.m_step_tasks =
           count == tasks_on_runner.end() ? 0 : count->second;
     }
+    return tasks_on_rack;
   }
 
   const PlanInput& m_input;
@@ -349,6 +434,7 @@
     return {};
   }
   PlanningPass pass(input, ranking);
+  pass.PlaceSuspects();
   for (const RankedJob& ranked : ranking) {
     if (pass.HasReachedMaxRuns()) {
       break;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -40,6 +40,26 @@
       std::chrono::duration_cast<Millis>(duration).count());
 }
 
+// For how long the run was running while its runner was known to be alive; zero
+// if its start was not confirmed.
+Duration SeenRunning(const RunnerLink& link, const TrackedRun& run) {
+  return run.m_started_at == Instant()
+             ? Duration::zero()
+             : std::max(link.m_alive_until - run.m_started_at,
+                        Duration::zero());
+}
+
+bool MayBeRunning(const TrackedRun& run) {
+  return run.m_state != TrackedRunState::kRejected &&
+         run.m_state != TrackedRunState::kEndProposed;
+}
+
+// Whether the run may be running and has not been for `span`.
+bool IsYoungerThan(Duration span, const TrackedRun& run, Instant now) {
+  return MayBeRunning(run) &&
+         (run.m_started_at == Instant() || now < run.m_started_at + span);
+}
+
 std::unique_ptr<wire::RunEndT> MakeEnd(const jobs::RunKey& run,
                                        wire::EndKind how,
                                        const std::string& checkpoint) {
@@ -106,6 +126,41 @@
          now >= link->m_backoff_until && !link->m_health.IsQuarantined(now);
 }
 
+void Dispatcher::AddTrial(RunnerLink& link, const jobs::TaskKey& task) const {
+  if (m_state.suspects().contains(task)) {
+    link.m_trials.push_back(task);
+  }
+}
+
+Duration Dispatcher::TrialPeriodOf(const jobs::TaskKey& key) const {
+  const jobs::Job* const job = m_state.FindJob(key.m_job);
+  const jobs::Task* const task = job == nullptr ? nullptr : job->FindTask(key);
+  return jobs::TrialPeriod(task == nullptr ? std::vector<jobs::RunnerCrash>()
+                                           : task->m_crashes);
+}
+
+bool Dispatcher::IsTrying(const std::string& runner, Instant now) const {
+  const RunnerLink* const link = FindLink(runner);
+  return link != nullptr &&
+         std::any_of(link->m_trials.begin(), link->m_trials.end(),
+                     [&](const jobs::TaskKey& task) {
+                       const auto run = link->m_tracked_runs.find(task);
+                       return run != link->m_tracked_runs.end() &&
+                              IsYoungerThan(TrialPeriodOf(task), run->second,
+                                            now);
+                     });
+}
+
+bool Dispatcher::HasUnsettledRun(const std::string& runner, Instant now) const {
+  const RunnerLink* const link = FindLink(runner);
+  return link != nullptr &&
+         std::any_of(link->m_tracked_runs.begin(), link->m_tracked_runs.end(),
+                     [&](const auto& item) {
+                       return IsYoungerThan(jobs::kSettlingTime, item.second,
+                                            now);
+                     });
+}
+
 void Dispatcher::SetTicket(const jobs::TaskKey& task, std::string ticket) {
   m_tickets[task] = std::move(ticket);
 }
@@ -141,6 +196,7 @@
   }
   for (const auto& [task, run] : runner->m_assigned) {
     TrackedRun& tracked = link.m_tracked_runs[task];
+    AddTrial(link, task);
     tracked.m_run = run;
     tracked.m_state = TrackedRunState::kInherited;
     tracked.m_confirmed_at = now;
@@ -298,6 +354,7 @@
     return false;
   }
   link.m_tracked_runs.erase(tracked);
+  std::erase(link.m_trials, run.m_task);
   return true;
 }
 
@@ -319,6 +376,7 @@
     for (const jobs::RunKey& run : applied.m_assigned) {
       TrackedRun& tracked = link.m_tracked_runs[run.m_task];
       tracked = TrackedRun();
+      AddTrial(link, run.m_task);
       tracked.m_run = run.m_run;
       tracked.m_reported_at = now;
       const auto ticket = m_tickets.find(run.m_task);
@@ -415,17 +473,51 @@
         .Field("how", "lost")
         .Field("cause", NameOf(cause))
         .Field("state", NameOf(tracked.m_state))
-        .Field("seen_running_ms",
-               tracked.m_started_at == Instant()
-                   ? 0
-                   : ToMillis(link.m_last_answer - tracked.m_started_at));
+        .Field("seen_running_ms", ToMillis(SeenRunning(link, tracked)));
   }
   wire::RemoveRunnerT remove;
   remove.runner = runner;
   remove.born_ms = link.m_born_ms;
+  const bool has_crashed =
+      known != nullptr && !known->m_record.draining &&
+      !(m_is_down_as_requested && m_is_down_as_requested(*known));
+  if (has_crashed) {
+    const jobs::CrashEvidence evidence = AssessCrash(link);
+    for (const jobs::RunKey& run : evidence.m_new_runs) {
+      remove.new_runs.push_back(jobs::ToWire(run));
+    }
+    for (const jobs::RunKey& run : evidence.m_older_runs) {
+      remove.older_runs.push_back(jobs::ToWire(run));
+    }
+    remove.conclusive = evidence.m_conclusive;
+  }
   m_commands.emplace_back().Set(std::move(remove));
 }
 
+jobs::CrashEvidence Dispatcher::AssessCrash(const RunnerLink& link) const {
+  std::vector<jobs::RunAtCrash> runs;
+  for (const auto& [task, tracked] : link.m_tracked_runs) {
+    // A start that was rejected or refused did not run.
+    if (!MayBeRunning(tracked)) {
+      continue;
+    }
+    jobs::RunAtCrash& run = runs.emplace_back();
+    run.m_run = {task, tracked.m_run};
+    run.m_trial_period = TrialPeriodOf(task);
+    const wire::StepSpecT* const step = m_state.FindStep(task);
+    run.m_gang = step != nullptr && step->gang;
+    run.m_seen_running = SeenRunning(link, tracked);
+  }
+  return jobs::AssessCrash(runs);
+}
+
+void Dispatcher::OnRestarted(const std::string& runner, Instant now) {
+  const auto link = m_links.find(runner);
+  if (leading() && link != m_links.end()) {
+    ProposeRemoval(runner, link->second, AnswerKind::kOtherIncarnation, now);
+  }
+}
+
 void Dispatcher::ProposeLostRuns(const std::string& runner, RunnerLink& link,
                                  const std::vector<jobs::RunKey>& runs,
                                  const char* cause) {
@@ -460,10 +552,24 @@
     return;
   }
   RunnerLink& link = found->second;
+  // A hold that is kept open breaks as soon as the runner's process ends.
+  if ((answer.m_kind == AnswerKind::kNoAnswer ||
+       answer.m_kind == AnswerKind::kGone) &&
+      call.m_kind == CallKind::kHold && link.m_consecutive_timeouts == 0 &&
+      now < call.m_sent + Millis(call.m_wait_ms)) {
+    link.m_alive_until = now;
+  }
   const bool other_incarnation =
       answer.m_kind == AnswerKind::kOtherIncarnation ||
       (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms);
   if (other_incarnation || answer.m_kind == AnswerKind::kGone) {
+    const auto tracked = link.m_tracked_runs.find(call.m_run.m_task);
+    if (call.m_kind == CallKind::kStart &&
+        tracked != link.m_tracked_runs.end() &&
+        tracked->second.m_run == call.m_run.m_run &&
+        tracked->second.m_attempts == 1) {
+      tracked->second.m_state = TrackedRunState::kRejected;
+    }
     ProposeRemoval(
         call.m_runner, link,
         other_incarnation ? AnswerKind::kOtherIncarnation : answer.m_kind, now);
@@ -480,6 +586,7 @@
   } else {
     link.m_consecutive_timeouts = 0;
     link.m_last_answer = now;
+    link.m_alive_until = now;
     if (answer.m_clock_ms != 0) {
       link.m_clock_ms = answer.m_clock_ms;
       link.m_clock_read_at = now;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -23,6 +23,14 @@
   CPPUNIT_TEST(LongTasksHaveALongerStallTimeout);
   CPPUNIT_TEST(RunBeyondAFullListOfEndsIsNotLost);
   CPPUNIT_TEST(RunnerThatIsGoneGetsNoFurtherRuns);
+  CPPUNIT_TEST(CrashIsBlamedOnTheRunThatHasJustStarted);
+  CPPUNIT_TEST(CrashUnderTwoNewRunsIsNotConclusive);
+  CPPUNIT_TEST(GangThatHasJustStartedIsToBlameAsOne);
+  CPPUNIT_TEST(RunnerThatDrainsOrIsTakenDownHasNotCrashed);
+  CPPUNIT_TEST(RestartUnderTheOldIdIsACrash);
+  CPPUNIT_TEST(RefusedStartIsNoSuspect);
+  CPPUNIT_TEST(LapsedRunnerHasNotCrashed);
+  CPPUNIT_TEST(RunnerTriesASuspectForItsTrialPeriod);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -32,6 +40,7 @@
     m_last_end_number = 0;
     m_estimate_ms = 0;
     m_other_ends = 0;
+    m_gang = false;
     m_running.clear();
     m_stopped.clear();
     m_state = std::make_unique<jobs::WorkState>();
@@ -187,6 +196,118 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->TakeCommands().size());
   }
 
+  void CrashIsBlamedOnTheRunThatHasJustStarted() {
+    AssignAndAge(1, 2, Millis(300));
+    Assign(2, 1, RunnerId(0));
+    const wire::RemoveRunnerT remove = CrashFirstRunner();
+    CPPUNIT_ASSERT(remove.conclusive);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, remove.new_runs.size());
+    CPPUNIT_ASSERT_EQUAL(jobs::JobId{2}, remove.new_runs[0].job());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, remove.older_runs.size());
+  }
+
+  void CrashUnderTwoNewRunsIsNotConclusive() {
+    Assign(1, 1, RunnerId(0));
+    Assign(2, 1, RunnerId(0));
+    const wire::RemoveRunnerT remove = CrashFirstRunner();
+    CPPUNIT_ASSERT(!remove.conclusive);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, remove.new_runs.size());
+  }
+
+  void GangThatHasJustStartedIsToBlameAsOne() {
+    m_gang = true;
+    Assign(1, 3, RunnerId(0));
+    const wire::RemoveRunnerT remove = CrashFirstRunner();
+    CPPUNIT_ASSERT(remove.conclusive);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, remove.new_runs.size());
+  }
+
+  // The end of a runner says nothing of its runs if it was to end.
+  void RunnerThatDrainsOrIsTakenDownHasNotCrashed() {
+    for (const bool draining : {true, false}) {
+      setUp();
+      Assign(1, 1, RunnerId(0));
+      if (draining) {
+        wire::RegisterRunnerT report;
+        report.runner = std::make_unique<wire::RunnerRecordT>(
+            m_state->FindRunner(RunnerId(0))->m_record);
+        report.runner->draining = true;
+        report.runner->sequence = 2;
+        Apply(std::move(report));
+      } else {
+        m_dispatcher->SetDownAsRequested([](const jobs::Runner& runner) {
+          return runner.m_record.id == RunnerId(0);
+        });
+      }
+      const wire::RemoveRunnerT remove = CrashFirstRunner();
+      CPPUNIT_ASSERT(remove.new_runs.empty() && remove.older_runs.empty());
+    }
+  }
+
+  void RestartUnderTheOldIdIsACrash() {
+    Assign(1, 1, RunnerId(0));
+    m_dispatcher->OnRestarted(RunnerId(0), m_now);
+    const wire::RemoveRunnerT remove = TakeRemoval();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, remove.new_runs.size());
+  }
+
+  // A start whose connection is refused has reached no process.
+  void RefusedStartIsNoSuspect() {
+    AssignAndAge(1, 1, Millis(300));
+    AcceptJob(2, 1);
+    AssignRuns(2, 1, RunnerId(0));
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      if (call.m_kind == CallKind::kStart) {
+        RunnerAnswer gone;
+        gone.m_kind = AnswerKind::kGone;
+        m_dispatcher->OnAnswer(call, gone, m_now);
+      }
+    }
+    const wire::RemoveRunnerT remove = TakeRemoval();
+    CPPUNIT_ASSERT(remove.new_runs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, remove.older_runs.size());
+  }
+
+  // A runner that can't be reached may be working on behind a cut link.
+  void LapsedRunnerHasNotCrashed() {
+    Assign(1, 1, RunnerId(0));
+    RunnerAnswer silent;
+    silent.m_kind = AnswerKind::kNoAnswer;
+    std::size_t lapsed = 0;
+    for (int i = 0; i < 100; ++i) {
+      m_now += Millis(100);
+      m_dispatcher->Tick(m_now);
+      for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+        m_dispatcher->OnAnswer(call, silent, m_now);
+      }
+      for (wire::WorkBodyUnion& body : m_dispatcher->TakeCommands()) {
+        CPPUNIT_ASSERT(body.type != wire::WorkBody::RemoveRunner);
+        lapsed += body.type == wire::WorkBody::EndRuns ? 1 : 0;
+        ApplyBody(std::move(body));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lapsed);
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+  }
+
+  void RunnerTriesASuspectForItsTrialPeriod() {
+    Assign(1, 1, RunnerId(0));
+    CPPUNIT_ASSERT(!m_dispatcher->IsTrying(RunnerId(0), m_now));
+    Apply(CrashFirstRunner());
+    AssignRuns(1, 2, RunnerId(1));
+    CPPUNIT_ASSERT(m_dispatcher->IsTrying(RunnerId(1), m_now));
+    Advance(Millis(0));
+    const Duration period = jobs::TrialPeriod(
+        m_state->FindJob(1)->FindTask({1, 0, 0, 0})->m_crashes);
+    CPPUNIT_ASSERT(
+        m_dispatcher->IsTrying(RunnerId(1), m_now + period - Millis(1)));
+    CPPUNIT_ASSERT(!m_dispatcher->IsTrying(RunnerId(1), m_now + period));
+    CPPUNIT_ASSERT(m_dispatcher->HasUnsettledRun(RunnerId(1), m_now + period));
+    CPPUNIT_ASSERT(!m_dispatcher->HasUnsettledRun(RunnerId(1),
+                                                  m_now + jobs::kSettlingTime));
+    CPPUNIT_ASSERT(!m_dispatcher->IsTrying(RunnerId(2), m_now));
+  }
+
  private:
   static std::string RunnerId(std::uint32_t number) {
     return "r" + std::to_string(number);
@@ -205,6 +326,41 @@
   }
 
   void Assign(jobs::JobId job, std::uint32_t tasks, const std::string& runner) {
+    AcceptJob(job, tasks);
+    AssignRuns(job, 1, runner, tasks);
+    Advance(Millis(0));
+  }
+
+  // Assigns runs to the first runner, which reports them until they have `age`.
+  void AssignAndAge(jobs::JobId job, std::uint16_t tasks, Duration age) {
+    Assign(job, tasks, RunnerId(0));
+    ReportRunning(job, tasks, 1);
+    Advance(age);
+    Advance(Millis(1));
+  }
+
+  // @return the removal that a refused connection to the first runner causes
+  wire::RemoveRunnerT CrashFirstRunner() {
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    RunnerAnswer gone;
+    gone.m_kind = AnswerKind::kGone;
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      if (call.m_runner == RunnerId(0)) {
+        m_dispatcher->OnAnswer(call, gone, m_now);
+      }
+    }
+    return TakeRemoval();
+  }
+
+  wire::RemoveRunnerT TakeRemoval() {
+    std::vector<wire::WorkBodyUnion> commands = m_dispatcher->TakeCommands();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+    CPPUNIT_ASSERT(commands[0].type == wire::WorkBody::RemoveRunner);
+    return *commands[0].AsRemoveRunner();
+  }
+
+  void AcceptJob(jobs::JobId job, std::uint32_t tasks) {
     wire::AcceptJobT accept;
     accept.queue = "queue";
     accept.job = std::make_unique<wire::JobSpecT>();
@@ -212,15 +368,19 @@
     accept.job->steps.push_back(std::make_unique<wire::StepSpecT>());
     accept.job->steps.back()->count = tasks;
     accept.job->steps.back()->estimate_ms = m_estimate_ms;
+    accept.job->steps.back()->gang = m_gang;
     Apply(std::move(accept));
+  }
+
+  void AssignRuns(jobs::JobId job, std::uint32_t run, const std::string& runner,
+                  std::uint32_t tasks = 1) {
     wire::AssignRunsT assign;
     assign.runner = runner;
     assign.born_ms = kBornMs;
     for (std::uint16_t index = 0; index < tasks; ++index) {
-      assign.tasks.push_back(jobs::ToWire({{job, 0, 0, index}, 1}));
+      assign.tasks.push_back(jobs::ToWire({{job, 0, 0, index}, run}));
     }
     Apply(std::move(assign));
-    Advance(Millis(0));
   }
 
   // Reports one end in the runner's next run list and applies the commands that
@@ -283,6 +443,7 @@
   std::uint64_t m_log_index = 0;
   std::uint64_t m_last_end_number = 0;
   std::uint32_t m_estimate_ms = 0;
+  bool m_gang = false;             // Kind of the steps of accepted jobs.
   std::uint32_t m_other_ends = 0;  // In the next run list, of unknown runs.
   std::unique_ptr<jobs::WorkState> m_state;
   std::unique_ptr<Dispatcher> m_dispatcher;
--- a/tests/load_model.cc
+++ b/tests/load_model.cc
@@ -278,7 +278,7 @@
     }
   }
   for (const runs::RunnerCall& call : m_core->TakeRunnerCalls()) {
-    Schedule(kNetworkDelay, [this, call] { HandleRunnerCall(call); });
+    Schedule(kNetworkDelay, [this, call] { HandleRunnerCall(call, true); });
   }
   for (const fleet::MachineRequest& request : m_core->TakeMachineRequests()) {
     Schedule(kNetworkDelay, [this, request] { HandleMachineRequest(request); });
@@ -295,7 +295,7 @@
   }
 }
 
-void LoadModel::HandleRunnerCall(const runs::RunnerCall& call) {
+void LoadModel::HandleRunnerCall(const runs::RunnerCall& call, bool may_wait) {
   const auto found = m_machine_of_runner.find(call.m_runner);
   runs::RunnerAnswer answer;
   answer.m_kind = runs::AnswerKind::kGone;
@@ -318,8 +318,9 @@
       }
     }
     answer = runner.Handle(call, m_now, span, false);
-    if (call.m_kind == runs::CallKind::kHold && call.m_wait_ms > 0 &&
-        answer.m_kind == runs::AnswerKind::kOk && answer.m_ended.empty()) {
+    if (call.m_kind == runs::CallKind::kHold && may_wait &&
+        call.m_wait_ms > 0 && answer.m_kind == runs::AnswerKind::kOk &&
+        answer.m_ended.empty()) {
       m_holds.push_back({call, found->second, m_now + Millis(call.m_wait_ms)});
       return;
     }
@@ -342,12 +343,11 @@
                         runner->HasEndsAfter(hold.m_call.m_last_recorded_end);
     if (is_due) {
       due.push_back(hold.m_call);
-      due.back().m_wait_ms = 0;
     }
     return is_due;
   });
   for (const runs::RunnerCall& call : due) {
-    HandleRunnerCall(call);
+    HandleRunnerCall(call, false);
   }
 }
 
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -124,7 +124,8 @@
   void SubmitJob(const QueuePattern& queue);
   void RegisterReadyMachines();
   void PerformActions();
-  void HandleRunnerCall(const runs::RunnerCall& call);
+  /** @param may_wait whether a hold may stay open until a run ends */
+  void HandleRunnerCall(const runs::RunnerCall& call, bool may_wait);
   void CompleteHolds();
   /** The runner ends now; its machine starts another one later. */
   void Crash(const std::string& runner);
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <random>
+#include <set>
 
 #include "bronzebarrow/jobs.h"
 
@@ -19,6 +20,12 @@
   CPPUNIT_TEST(FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob);
   CPPUNIT_TEST(EndOfOlderRunIsIgnored);
   CPPUNIT_TEST(NewRunnerIncarnationLosesAssignedRuns);
+  CPPUNIT_TEST(SecondCrashJustAfterTheStartFailsTheJob);
+  CPPUNIT_TEST(CrashWithSeveralSuspectsFailsNoJob);
+  CPPUNIT_TEST(FifthCrashFailsTheJobWithoutAnotherStart);
+  CPPUNIT_TEST(CrashesOutliveTheSnapshot);
+  CPPUNIT_TEST(RemovalByAnEarlierVersionCountsNoCrash);
+  CPPUNIT_TEST(CrashOfAnotherRunIsNotCounted);
   CPPUNIT_TEST(ConfigWithoutHigherVersionIsIgnored);
   CPPUNIT_TEST(RoutesByHostAndLongestPrefix);
   CPPUNIT_TEST(InvalidConfigurationsAreRejected);
@@ -111,6 +118,107 @@
                          m_state->FindRunner("r")->m_record.born_ms);
   }
 
+  // Guards against a task that is started without end although it crashes each
+  // runner.
+  void SecondCrashJustAfterTheStartFailsTheJob() {
+    AcceptJob(1, {2});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1)});
+    const ApplyResult first =
+        RemoveCrashed("r", {MakeRun(1, 0, 0, 1)}, {MakeRun(1, 0, 1, 1)}, true);
+    CPPUNIT_ASSERT(first.m_given_up.empty());
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    CPPUNIT_ASSERT(m_state->suspects() == std::set<TaskKey>({{1, 0, 0, 0}}));
+    RegisterRunner("s", 1);
+    AssignRuns("s", {MakeRun(1, 0, 0, 2)});
+    const ApplyResult second =
+        RemoveCrashed("s", {MakeRun(1, 0, 0, 2)}, {}, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.m_given_up.size());
+    CPPUNIT_ASSERT(second.m_given_up[0] == MakeRun(1, 0, 0, 2));
+    CPPUNIT_ASSERT(second.m_jobs_ended == std::vector<JobId>{1});
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+    RegisterRunner("r", 2);
+    CPPUNIT_ASSERT(AssignRuns("r", {MakeRun(1, 0, 0, 3)}).m_assigned.empty());
+  }
+
+  void CrashWithSeveralSuspectsFailsNoJob() {
+    for (JobId job = 1; job <= 2; ++job) {
+      AcceptJob(job, {1});
+    }
+    for (std::uint32_t crash = 1; crash <= 4; ++crash) {
+      const std::vector<RunKey> runs = {MakeRun(1, 0, 0, crash),
+                                        MakeRun(2, 0, 0, crash)};
+      AssignRuns("r", runs);
+      CPPUNIT_ASSERT(RemoveCrashed("r", runs, {}, false).m_given_up.empty());
+      RegisterRunner("r", 1 + crash);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_state->suspects().size());
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    CPPUNIT_ASSERT(Phase(2) == wire::JobPhase::Running);
+  }
+
+  // The users allow two starts after the third crash, whatever the evidence.
+  void FifthCrashFailsTheJobWithoutAnotherStart() {
+    AcceptJob(1, {1});
+    for (std::uint32_t crash = 1; crash <= 5; ++crash) {
+      CPPUNIT_ASSERT(Phase(1) != wire::JobPhase::Failed);
+      AssignRuns("r", {MakeRun(1, 0, 0, crash)});
+      RemoveCrashed("r", {}, {MakeRun(1, 0, 0, crash)}, false);
+      RegisterRunner("r", 1 + crash);
+    }
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
+  }
+
+  // Guards against a member that loads an image, or takes over, and counts
+  // anew.
+  void CrashesOutliveTheSnapshot() {
+    AcceptJob(1, {1});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1)});
+    RemoveCrashed("r", {MakeRun(1, 0, 0, 1)}, {}, true);
+    auto copy = std::make_unique<WorkState>();
+    CPPUNIT_ASSERT(copy->Load(m_state->Image()));
+    CPPUNIT_ASSERT(copy->suspects() == m_state->suspects());
+    m_state = std::move(copy);
+    const std::vector<RunnerCrash>& crashes =
+        m_state->FindJob(1)->FindTask({1, 0, 0, 0})->m_crashes;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), crashes[0].m_runner);
+    CPPUNIT_ASSERT_EQUAL(kNowMs, crashes[0].m_time_ms);
+    CPPUNIT_ASSERT(crashes[0].m_just_started);
+    RegisterRunner("r", 2);
+    AssignRuns("r", {MakeRun(1, 0, 0, 2)});
+    RemoveCrashed("r", {MakeRun(1, 0, 0, 2)}, {}, true);
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
+  }
+
+  // Its records of removals have no runs.
+  void RemovalByAnEarlierVersionCountsNoCrash() {
+    AcceptJob(1, {1});
+    for (std::uint32_t crash = 1; crash <= 6; ++crash) {
+      AssignRuns("r", {MakeRun(1, 0, 0, crash)});
+      RemoveCrashed("r", {}, {}, false);
+      RegisterRunner("r", 1 + crash);
+    }
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+  }
+
+  // Guards against a crash that is counted for a run which had ended, or was
+  // assigned to another runner, when the removal was committed.
+  void CrashOfAnotherRunIsNotCounted() {
+    RegisterRunner("s", 1);
+    AcceptJob(1, {2});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1)});
+    RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Done, 1);
+    RecordEnd("r", MakeRun(1, 0, 1, 1), wire::EndKind::Lost, 1);
+    AssignRuns("s", {MakeRun(1, 0, 1, 2)});
+    RemoveCrashed("r", {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1)},
+                  {MakeRun(1, 0, 1, 2)}, true);
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+    CPPUNIT_ASSERT(
+        m_state->FindJob(1)->FindTask({1, 0, 0, 1})->m_crashes.empty());
+  }
+
   void ConfigWithoutHigherVersionIsIgnored() {
     wire::PutConfigT put;
     put.config = MakeConfig(3);
@@ -222,6 +330,12 @@
             remove.runner = random() % 2 == 0 ? "r" : "s";
             remove.born_ms = 1 + random() % 3;
             const std::string id = remove.runner;
+            const Runner* const runner = m_state->FindRunner(id);
+            for (const auto& [task, run] : runner->m_assigned) {
+              (random() % 2 == 0 ? remove.new_runs : remove.older_runs)
+                  .push_back(ToWire(RunKey{task, run}));
+            }
+            remove.conclusive = random() % 2 == 0;
             Apply(std::move(remove));
             CPPUNIT_ASSERT_EQUAL(std::string(), m_state->FindIndexError());
             RegisterRunner(id, 1 + random() % 3);
@@ -433,6 +547,23 @@
     return Apply(std::move(assign));
   }
 
+  ApplyResult RemoveCrashed(const std::string& runner,
+                            const std::vector<RunKey>& new_runs,
+                            const std::vector<RunKey>& older_runs,
+                            bool conclusive) {
+    wire::RemoveRunnerT remove;
+    remove.runner = runner;
+    remove.born_ms = m_state->FindRunner(runner)->m_record.born_ms;
+    for (const RunKey& run : new_runs) {
+      remove.new_runs.push_back(ToWire(run));
+    }
+    for (const RunKey& run : older_runs) {
+      remove.older_runs.push_back(ToWire(run));
+    }
+    remove.conclusive = conclusive;
+    return Apply(std::move(remove));
+  }
+
   void RecordEnd(const std::string& runner, const RunKey& run,
                  wire::EndKind how, std::uint64_t seen) {
     wire::EndRunsT ends;
