Test that runners whose capacity shrinks are not overfilled

RunnersThatShrinkAreNotOverfilled replays 20 seeds: capacities change every 150 ms to between a half and an eighth and back, under a backlog and with crashes, on runners that start whatever they are sent; no start exceeds what the runner had within the last 500 ms (the users allow several seconds). Not covered: balance and admission with the old capacity, which decide no start.

--- a/tests/load_model.cc
+++ b/tests/load_model.cc
@@ -15,6 +15,11 @@
 constexpr Duration kMoveTime = Millis(1500);
 // From the crash of a runner until its machine starts another one.
 constexpr Duration kRestartTime = Millis(3000);
+// From a change of a runner's capacity to its next report.
+constexpr Duration kReportDelay = Millis(400);
+// Starts may use the earlier capacity for as long as this: the report's delay
+// and the time to commit it. The users allow several seconds.
+constexpr Duration kResizeGrace = Millis(500);
 // Time for the election and the registration of the runners.
 constexpr Duration kWarmUp = Millis(3000);
 // Time after the last arrival in which jobs may end.
@@ -110,6 +115,11 @@
       m_next_crash = m_now + m_pattern.m_crash_interval;
       CrashRandomRunner();
     }
+    if (m_pattern.m_resize_interval != Duration::zero() && m_now >= begin &&
+        m_now >= m_next_resize) {
+      m_next_resize = m_now + m_pattern.m_resize_interval;
+      ResizeRandomRunner();
+    }
     const auto up = static_cast<std::size_t>(std::count_if(
         m_machines.begin(), m_machines.end(),
         [](const Machine& machine) { return machine.m_runner.has_value(); }));
@@ -173,23 +183,74 @@
         "i-" + std::to_string(i) + "-" + std::to_string(++machine.m_lives);
     machine.m_runner.emplace(id, VirtualMoment().m_wall_ms, 1.0, m_now);
     m_machine_of_runner[id] = i;
-    wire::ReportRunnerCallT report;
-    report.runner = std::make_unique<wire::RunnerRecordT>();
-    report.runner->id = id;
-    report.runner->born_ms = machine.m_runner->born_ms();
-    report.runner->machine = std::to_string(i);
-    report.runner->address = "127.0.0.1:1";
-    report.runner->pool = machine.m_pool;
-    report.runner->labels = {"a", "rack" + std::to_string(i / 20)};
-    report.runner->cpu_milli = kMachineMilli;
-    report.runner->memory_mb = 128'000;
-    report.runner->sequence = 1;
-    wire::CallBodyUnion body;
-    body.Set(std::move(report));
-    Call(std::move(body), kOtherCall);
+    machine.m_cpu_milli = kMachineMilli;
+    machine.m_previous_cpu_milli = kMachineMilli;
+    machine.m_reports = 0;
+    ReportRunner(i);
   }
 }
 
+void LoadModel::ReportRunner(std::size_t index) {
+  Machine& machine = m_machines[index];
+  wire::ReportRunnerCallT report;
+  report.runner = std::make_unique<wire::RunnerRecordT>();
+  report.runner->id = machine.m_runner->id();
+  report.runner->born_ms = machine.m_runner->born_ms();
+  report.runner->machine = std::to_string(index);
+  report.runner->address = "127.0.0.1:1";
+  report.runner->pool = machine.m_pool;
+  report.runner->labels = {"a", "rack" + std::to_string(index / 20)};
+  report.runner->cpu_milli = machine.m_cpu_milli;
+  report.runner->memory_mb = 128'000;
+  report.runner->sequence = ++machine.m_reports;
+  wire::CallBodyUnion body;
+  body.Set(std::move(report));
+  Call(std::move(body), kOtherCall);
+}
+
+void LoadModel::ResizeRandomRunner() {
+  auto runner = m_machine_of_runner.begin();
+  std::advance(runner, m_random() % m_machine_of_runner.size());
+  const std::size_t index = runner->second;
+  Machine& machine = m_machines[index];
+  if (m_now < machine.m_resized_at + kResizeGrace) {
+    return;
+  }
+  machine.m_previous_cpu_milli = machine.m_cpu_milli;
+  machine.m_resized_at = m_now;
+  machine.m_cpu_milli =
+      machine.m_cpu_milli < kMachineMilli
+          ? kMachineMilli
+          : kMachineMilli / static_cast<std::uint32_t>(2 + m_random() % 7);
+  ++m_result.m_resizes;
+  Schedule(kReportDelay, [this, index, id = runner->first] {
+    const auto& current = m_machines[index].m_runner;
+    if (current && current->id() == id) {
+      ReportRunner(index);
+    }
+  });
+}
+
+std::uint32_t LoadModel::CpuMilliOf(const jobs::TaskKey& task) const {
+  const auto queue = std::find_if(
+      m_pattern.m_queues.begin(), m_pattern.m_queues.end(), [&](const auto& q) {
+        return q.m_name == m_submissions.at(task.m_job).m_queue;
+      });
+  return queue->m_cpu_milli;
+}
+
+void LoadModel::CheckRoom(const Machine& machine, const jobs::RunKey& run) {
+  std::uint32_t used = CpuMilliOf(run.m_task);
+  for (const auto& [task, running] : machine.m_runner->running()) {
+    used += CpuMilliOf(task);
+  }
+  const std::uint32_t room =
+      m_now < machine.m_resized_at + kResizeGrace
+          ? std::max(machine.m_cpu_milli, machine.m_previous_cpu_milli)
+          : machine.m_cpu_milli;
+  m_result.m_overfilling_starts += used > room ? 1 : 0;
+}
+
 void LoadModel::Arrive() {
   const Duration elapsed = m_now - m_start - kWarmUp;
   for (const QueuePattern& queue : m_pattern.m_queues) {
@@ -312,6 +373,9 @@
       span = Millis(queue->m_task_ms);
       const jobs::TaskKey& task = call.m_run.m_task;
       const bool is_new = !runner.running().contains(task);
+      if (is_new) {
+        CheckRoom(m_machines[found->second], call.m_run);
+      }
       if (submission.m_crashes_runners && task.m_step == 0 &&
           task.m_index == 0 && is_new) {
         ++m_crashing_starts[task.m_job];
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -47,6 +47,9 @@
   Duration m_length = Millis(20'000);  // Time during which jobs arrive.
   // Time between two crashes of runners without a cause; zero: there are none.
   Duration m_crash_interval = Duration::zero();
+  // Time between two changes of a runner's capacity, to a part of its machine
+  // or back; zero: there are none. Runners start whatever they are sent.
+  Duration m_resize_interval = Duration::zero();
   std::uint64_t m_seed = 1;
 };
 
@@ -82,6 +85,10 @@
   double m_pool_seconds = 0;  // Machines in pools other than standby.
   CrashResult m_crashing;
   std::size_t m_least_runners = 0;  // Up at the same time, after the warm-up.
+  std::size_t m_resizes = 0;
+  // Starts that brought a runner over the largest capacity that it had within
+  // the last kResizeGrace.
+  std::size_t m_overfilling_starts = 0;
 
   QueueResult Total() const;
 };
@@ -104,6 +111,10 @@
     std::optional<FakeRunner> m_runner;
     Instant m_ready_at;  // Its runner registers then.
     std::uint32_t m_lives = 0;
+    std::uint32_t m_cpu_milli = kMachineMilli;
+    std::uint32_t m_previous_cpu_milli = kMachineMilli;
+    Instant m_resized_at{};
+    std::uint64_t m_reports = 0;  // Of this runner.
   };
   struct Submission {
     std::string m_queue;
@@ -130,6 +141,11 @@
   /** The runner ends now; its machine starts another one later. */
   void Crash(const std::string& runner);
   void CrashRandomRunner();
+  void ReportRunner(std::size_t machine);
+  void ResizeRandomRunner();
+  /** Counts the start of `run` on the machine if it overfills its runner. */
+  void CheckRoom(const Machine& machine, const jobs::RunKey& run);
+  std::uint32_t CpuMilliOf(const jobs::TaskKey& task) const;
   void HandleMachineRequest(const fleet::MachineRequest& request);
   LoadResult Summarise();
   void Call(wire::CallBodyUnion body, std::uint64_t id);
@@ -150,6 +166,7 @@
   std::map<std::uint64_t, Submission> m_submissions;  // By job id and call id.
   std::map<jobs::JobId, std::size_t> m_crashing_starts;  // By job.
   Instant m_next_crash;
+  Instant m_next_resize;
   std::uint64_t m_next_job = 1;
   LoadResult m_result;
 };
--- a/tests/load_replay_test.cc
+++ b/tests/load_replay_test.cc
@@ -11,12 +11,14 @@
 namespace {
 
 constexpr std::uint64_t kSeeds = 3;
+constexpr std::uint64_t kResizeSeeds = 20;
 
 class LoadReplayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LoadReplayTest);
   CPPUNIT_TEST(LoadWithinCapacityIsServedOnTime);
   CPPUNIT_TEST(PeakBeyondAllCapacityIsRefusedNotFailed);
   CPPUNIT_TEST(PeaksWithinTheFleetAreServedOnTime);
+  CPPUNIT_TEST(RunnersThatShrinkAreNotOverfilled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -80,6 +82,25 @@
     }
   }
 
+  // Load pattern: the capacity of runners that start whatever they are sent
+  // shrinks to between a half and an eighth, several times a second in the
+  // pool, and grows again, while runners crash and the queue has a backlog.
+  void RunnersThatShrinkAreNotOverfilled() {
+    for (std::uint64_t seed = 1; seed <= kResizeSeeds; ++seed) {
+      LoadPattern pattern;
+      pattern.m_seed = seed;
+      pattern.m_queues = {Queue("a", 8, 5, 5)};
+      pattern.m_resize_interval = Millis(150);
+      pattern.m_crash_interval = Millis(4000);
+      const LoadResult result = Play(pattern);
+      const std::string at = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_MESSAGE(at, result.m_resizes > 50);
+      CPPUNIT_ASSERT_MESSAGE(at, result.Total().m_on_time > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::size_t{0},
+                                   result.m_overfilling_starts);
+    }
+  }
+
  private:
   static QueuePattern Queue(const std::string& name, std::size_t machines,
                             double jobs_per_s, double peak_jobs_per_s) {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(ShortPoolsShareMachinesByNeed);
   CPPUNIT_TEST(PoolWithoutBacklogParksOnlyIdleMachines);
   CPPUNIT_TEST(PoolsShortOfCapacityKeepTheirMachines);
+  CPPUNIT_TEST(RunnerThatShrankTakesNothingUntilItFits);
   CPPUNIT_TEST(SuspectIsTriedWithoutOtherNewRuns);
   CPPUNIT_TEST(TrialWaitsUntilTheOtherRunsHaveSettled);
   CPPUNIT_TEST(TrialsLeaveThePoolMostOfItsRunners);
@@ -356,6 +357,23 @@
     CPPUNIT_ASSERT(RebalancePools({a, b}, BalanceOptions()).empty());
   }
 
+  void RunnerThatShrankTakesNothingUntilItFits() {
+    Submit(1, MakeStep(10), kNowMs);
+    const auto runs = PlanNow();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, runs.size());
+    const std::string shrunk = runs.begin()->second;
+    Assign(runs);
+    Resize(shrunk, 8 * kTaskMilli);
+    Submit(2, MakeStep(200), kNowMs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountRunsOn(shrunk));
+    for (std::uint16_t index = 0; index < 3; ++index) {
+      EndRun({1, 0, 0, index}, shrunk);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, CountRunsOn(shrunk));
+    Resize(shrunk, 12 * kTaskMilli);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, CountRunsOn(shrunk));
+  }
+
   // Load pattern: a task crashes each runner while the queue has a backlog that
   // would fill any runner.
   void SuspectIsTriedWithoutOtherNewRuns() {
@@ -484,6 +502,22 @@
       Apply(std::move(assign), kNowMs);
     }
   }
+  void Resize(const std::string& runner, std::int64_t cpu_milli) {
+    wire::RegisterRunnerT report;
+    report.runner = std::make_unique<wire::RunnerRecordT>(
+        m_state->FindRunner(runner)->m_record);
+    report.runner->cpu_milli = static_cast<std::uint32_t>(cpu_milli);
+    ++report.runner->sequence;
+    Apply(std::move(report), kNowMs);
+  }
+
+  std::size_t CountRunsOn(const std::string& runner) {
+    const auto runs = PlanNow();
+    return static_cast<std::size_t>(
+        std::count_if(runs.begin(), runs.end(),
+                      [&](const auto& item) { return item.second == runner; }));
+  }
+
   // Accepts jobs of one task each; the task's first run crashes its runner.
   void MakeSuspects(jobs::JobId count) {
     for (jobs::JobId id = 1; id <= count; ++id) {
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(CrashesOutliveTheSnapshot);
   CPPUNIT_TEST(RemovalByAnEarlierVersionCountsNoCrash);
   CPPUNIT_TEST(CrashOfAnotherRunIsNotCounted);
+  CPPUNIT_TEST(RunThatIsBeingStoppedKeepsItsRoom);
   CPPUNIT_TEST(ConfigWithoutHigherVersionIsIgnored);
   CPPUNIT_TEST(RoutesByHostAndLongestPrefix);
   CPPUNIT_TEST(InvalidConfigurationsAreRejected);
@@ -219,6 +220,32 @@
         m_state->FindJob(1)->FindTask({1, 0, 0, 1})->m_crashes.empty());
   }
 
+  // Guards against starts in the room of a run that has not stopped yet, also
+  // on a runner whose capacity has shrunk below what runs there.
+  void RunThatIsBeingStoppedKeepsItsRoom() {
+    AcceptJob(1, {2});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1)});
+    wire::RegisterRunnerT report;
+    report.runner = std::make_unique<wire::RunnerRecordT>(
+        m_state->FindRunner("r")->m_record);
+    report.runner->cpu_milli = 1500;
+    report.runner->sequence = 2;
+    Apply(std::move(report));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{-500},
+                         m_state->FindRunner("r")->FreeResources().m_cpu_milli);
+    wire::CancelJobT cancel;
+    cancel.job = 1;
+    Apply(cancel);
+    auto copy = std::make_unique<WorkState>();
+    CPPUNIT_ASSERT(copy->Load(m_state->Image()));
+    m_state = std::move(copy);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{-500},
+                         m_state->FindRunner("r")->FreeResources().m_cpu_milli);
+    RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Stopped, 1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{500},
+                         m_state->FindRunner("r")->FreeResources().m_cpu_milli);
+  }
+
   void ConfigWithoutHigherVersionIsIgnored() {
     wire::PutConfigT put;
     put.config = MakeConfig(3);
