Suspect no run whose start the new owner has not seen

An innocent task alone on its runner would be failed by two crashes around two changes of the owner, and the owner's memory of crashes without a cause is empty then. Such a run is now a second suspect until a run list shows it.

InheritedRunIsNoFirstSuspect failed before (the run was a first suspect). crash_replay_test passes.

--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -124,7 +124,10 @@
     run.m_trial_period = TrialPeriodOf(task);
     const wire::StepSpecT* const step = m_state.FindStep(task);
     run.m_gang = step != nullptr && step->gang;
-    run.m_seen_running = SeenRunning(link, tracked);
+    // An earlier owner started it, perhaps long ago.
+    run.m_seen_running = tracked.m_state == TrackedRunState::kInherited
+                             ? run.m_trial_period
+                             : SeenRunning(link, tracked);
   }
   return jobs::AssessCrash(runs, has_other_causes);
 }
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(CrashUnderTwoNewRunsIsNotConclusive);
   CPPUNIT_TEST(GangThatHasJustStartedIsToBlameAsOne);
   CPPUNIT_TEST(CrashAmongOthersWithoutACauseIsNotConclusive);
+  CPPUNIT_TEST(InheritedRunIsNoFirstSuspect);
   CPPUNIT_TEST(RefusedHoldDoesNotShowThatTheRunWasRunning);
   CPPUNIT_TEST(RunnerThatDrainsOrIsTakenDownHasNotCrashed);
   CPPUNIT_TEST(RestartUnderTheOldIdIsACrash);
@@ -241,6 +242,18 @@
                          m_dispatcher->CountCrashed("pool", m_now));
   }
 
+  // Guards against an innocent task that is blamed because its runner crashed
+  // before a new owner had seen for how long it had been running.
+  void InheritedRunIsNoFirstSuspect() {
+    Assign(1, 1, RunnerId(0));
+    m_dispatcher->StepDown();
+    m_now += Millis(1000);
+    m_dispatcher->BecomeLeader(m_state->epoch() + 1, m_now);
+    const wire::RemoveRunnerT remove = CrashFirstRunner();
+    CPPUNIT_ASSERT(remove.new_runs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, remove.older_runs.size());
+  }
+
   // Guards against a crash that is found late and then seems to have come long
   // after the start.
   void RefusedHoldDoesNotShowThatTheRunWasRunning() {
