Count the crash of a runner that came after its machine's last request

A new owner took each runner for down as requested whose machine an earlier owner had moved in the last 3.3 s, also the runner that the move had brought there, so its crash was not counted. The requests now remember which runner the machine had.

RunnerThatCameAfterARequestIsNotDownAsRequested failed before.

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -125,6 +125,8 @@
   struct LastRequest {
     std::uint64_t m_epoch = 0;
     Instant m_applied_at;  // When its command was applied on this member.
+    std::string m_runner;  // Of the machine at that time; empty: none.
+    std::uint64_t m_born_ms = 0;
   };
   /** An upkeep or a move in progress. */
   struct Operation {
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -77,9 +77,15 @@
 bool MachinePlanner::IsDownAsRequested(const jobs::Runner& runner) const {
   const std::string& machine = runner.m_record.machine;
   const auto operation = m_operations.find(machine);
-  return (operation != m_operations.end() && operation->second.m_request_sent &&
-          IsDrainedIncarnation(operation->second, runner)) ||
-         !IsHandoverOver(machine);
+  if (operation != m_operations.end() && operation->second.m_request_sent &&
+      IsDrainedIncarnation(operation->second, runner)) {
+    return true;
+  }
+  // A runner that came after the request has not ended because of it.
+  const auto last = m_last_requests.find(machine);
+  return !IsHandoverOver(machine) &&
+         last->second.m_runner == runner.m_record.id &&
+         last->second.m_born_ms == runner.m_record.born_ms;
 }
 
 bool MachinePlanner::IsUpkeepDue(const std::string& machine) const {
@@ -178,7 +184,14 @@
   if (applied.m_machine.empty()) {
     return;
   }
-  m_last_requests[applied.m_machine] = {m_state.epoch(), now};
+  const jobs::Runner* const runner =
+      m_state.FindLatestRunnerOfMachine(applied.m_machine);
+  LastRequest& last = m_last_requests[applied.m_machine];
+  last = {m_state.epoch(), now, "", 0};
+  if (runner != nullptr) {
+    last.m_runner = runner->m_record.id;
+    last.m_born_ms = runner->m_record.born_ms;
+  }
   const auto operation = m_operations.find(applied.m_machine);
   if (operation != m_operations.end() &&
       operation->second.m_phase == Phase::kRecording &&
--- a/tests/machine_planner_test.cc
+++ b/tests/machine_planner_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(MachinePlannerTest);
   CPPUNIT_TEST(MachineListedAsMovingIsUsedBeforeNextListing);
   CPPUNIT_TEST(NewOwnerWaitsForHandoverOfAMachine);
+  CPPUNIT_TEST(RunnerThatCameAfterARequestIsNotDownAsRequested);
   CPPUNIT_TEST(MachineWithoutRunnerGetsItsUpkeep);
   CPPUNIT_TEST(LaterPlansDoNotDelayADrain);
   CPPUNIT_TEST(EarlierOpenPlanDelaysADrain);
@@ -89,6 +90,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RequestsWithin(Millis(600)).size());
   }
 
+  // Guards against a crash that is not counted because an earlier owner had
+  // requested a move of the machine, which brought the runner there.
+  void RunnerThatCameAfterARequestIsNotDownAsRequested() {
+    const std::string machine = "full";
+    const wire::RunnerRecordT before =
+        m_state->FindLatestRunnerOfMachine(machine)->m_record;
+    wire::RecordMoveT record;
+    record.machine = machine;
+    record.pool = before.pool;
+    Apply(std::move(record));
+    TakeOwnership();
+    CPPUNIT_ASSERT(m_planner->IsDownAsRequested(
+        *m_state->FindLatestRunnerOfMachine(machine)));
+    wire::RegisterRunnerT next;
+    next.runner = std::make_unique<wire::RunnerRecordT>(before);
+    next.runner->born_ms = before.born_ms + 1;
+    Apply(std::move(next));
+    CPPUNIT_ASSERT(!m_planner->IsDownAsRequested(
+        *m_state->FindLatestRunnerOfMachine(machine)));
+  }
+
   // Guards against a wave that never completes because a machine without a
   // runner is never selected.
   void MachineWithoutRunnerGetsItsUpkeep() {
