--- a/include/bronzebarrow/jobs/crash_evidence.h
+++ b/include/bronzebarrow/jobs/crash_evidence.h
@@ -50,16 +50,22 @@
   // For how long it was seen running; zero if its start was not confirmed.
   Duration m_seen_running = Duration::zero();
   Duration m_trial_period = Duration::zero();  // Of its task.
+  // False if an earlier owner started it, perhaps long ago.
+  bool m_start_seen = true;
   // Whether its task is started together with the others of its step.
   bool m_gang = false;
 };
 
 struct CrashEvidence {
-  std::vector<RunKey> m_new_runs;    // In their trial period.
-  std::vector<RunKey> m_older_runs;  // Past it, but not beyond suspicion.
+  std::vector<RunKey> m_new_runs;  // In their trial period.
+  // Past it, or of unknown age, but not beyond suspicion.
+  std::vector<RunKey> m_older_runs;
   // Whether m_new_runs are those of one task or of one gang, and the crash is
   // unlikely to be a coincidence.
   bool m_conclusive = false;
+  // Whether each run was seen past its trial period, so that the runner has
+  // probably crashed by itself.
+  bool m_without_cause = true;
 };
 
 /**
--- a/include/bronzebarrow/runs/crash_history.h
+++ b/include/bronzebarrow/runs/crash_history.h
@@ -15,20 +15,20 @@
 
 class CrashHistory {
  public:
-  /** @param explained whether a run had just started on the runner */
-  void Record(const std::string& pool, bool explained, Instant now);
+  /** @param without_cause whether no run there can have caused it */
+  void Record(const std::string& pool, bool without_cause, Instant now);
   /** @return runners of the pool that may not have started again yet. */
   std::size_t CountNotBack(const std::string& pool, Instant now) const;
   /**
-   * @return whether a runner of the pool crashed lately although no run had
-   * just started on it, so that a crash after a start may be a coincidence
+   * @return whether a runner of the pool crashed lately although no run there
+   * can have caused it, so that a crash after a start may be a coincidence
    */
   bool HasOtherCauses(const std::string& pool, Instant now) const;
 
  private:
   struct Crash {
     Instant m_time;
-    bool m_explained = false;
+    bool m_without_cause = false;
   };
 
   // By pool, in the order of time; none is older than kRememberedTime when one
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -12,8 +12,8 @@
 // From this number of crashes on a task is tried for longer, because it may be
 // one that crashes its runner later.
 constexpr std::size_t kCrashesToLongTrial = 3;
-// A run that has lasted this long is not suspected: over days, long-running
-// tasks are on many runners that crash for other reasons.
+// A run past it is not suspected: long-running tasks are on many runners that
+// crash for other reasons.
 constexpr Duration kLongTrialPeriod = Millis(10'000);
 // Crashes just after the start before a task is given up. One may be caused by
 // a neighbour or by the runner itself.
@@ -57,7 +57,9 @@
   CrashEvidence evidence;
   const RunAtCrash* first_new = nullptr;
   for (const RunAtCrash& run : runs) {
-    if (run.m_seen_running >= run.m_trial_period) {
+    evidence.m_without_cause = evidence.m_without_cause && run.m_start_seen &&
+                               run.m_seen_running >= run.m_trial_period;
+    if (!run.m_start_seen || run.m_seen_running >= run.m_trial_period) {
       if (run.m_seen_running < kLongTrialPeriod) {
         evidence.m_older_runs.push_back(run.m_run);
       }
--- a/src/runs/crash_history.cc
+++ b/src/runs/crash_history.cc
@@ -13,13 +13,13 @@
 
 }  // namespace
 
-void CrashHistory::Record(const std::string& pool, bool explained,
+void CrashHistory::Record(const std::string& pool, bool without_cause,
                           Instant now) {
   std::deque<Crash>& crashes = m_crashes[pool];
   while (!crashes.empty() && now >= crashes.front().m_time + kRememberedTime) {
     crashes.pop_front();
   }
-  crashes.push_back({now, explained});
+  crashes.push_back({now, without_cause});
 }
 
 std::size_t CrashHistory::CountNotBack(const std::string& pool,
@@ -39,7 +39,7 @@
   return found != m_crashes.end() &&
          std::any_of(found->second.begin(), found->second.end(),
                      [&](const Crash& crash) {
-                       return !crash.m_explained &&
+                       return crash.m_without_cause &&
                               now < crash.m_time + kRememberedTime;
                      });
 }
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -99,7 +99,7 @@
     const std::string& pool = known->m_record.pool;
     const jobs::CrashEvidence evidence =
         AssessCrash(link, m_crash_history.HasOtherCauses(pool, now));
-    m_crash_history.Record(pool, !evidence.m_new_runs.empty(), now);
+    m_crash_history.Record(pool, evidence.m_without_cause, now);
     for (const jobs::RunKey& run : evidence.m_new_runs) {
       remove.new_runs.push_back(jobs::ToWire(run));
     }
@@ -124,10 +124,8 @@
     run.m_trial_period = TrialPeriodOf(task);
     const wire::StepSpecT* const step = m_state.FindStep(task);
     run.m_gang = step != nullptr && step->gang;
-    // An earlier owner started it, perhaps long ago.
-    run.m_seen_running = tracked.m_state == TrackedRunState::kInherited
-                             ? run.m_trial_period
-                             : SeenRunning(link, tracked);
+    run.m_start_seen = tracked.m_state != TrackedRunState::kInherited;
+    run.m_seen_running = SeenRunning(link, tracked);
   }
   return jobs::AssessCrash(runs, has_other_causes);
 }
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -14,6 +14,10 @@
 constexpr Duration kCallTimeout = Millis(700);
 constexpr std::uint64_t kWallClockStartMs = 1'700'000'000'000;
 constexpr std::uint32_t kMaxAttempts = 3;
+// The users allow two starts after the third crash.
+constexpr std::uint32_t kMaxCrashingStarts = 5;
+// From the start of a task that crashes its runner to the crash.
+constexpr Duration kCrashDelay = Millis(10);
 // A task that is not running counts as unavailable after the length of a
 // lease.
 constexpr Duration kUnavailableAfter = Millis(4500);
@@ -119,6 +123,18 @@
 void FakeWorkGroup::OnStart(const FakeRunner& runner, const jobs::RunKey& run) {
   ++m_starts;
   m_evicted.erase(run.m_task);
+  const auto crashing = m_crashing_starts.find(run.m_task.m_job);
+  if (crashing != m_crashing_starts.end()) {
+    if (++crashing->second > kMaxCrashingStarts) {
+      RecordViolation("third start after three crashes:", run);
+    }
+    const std::size_t index = std::stoul(runner.id().substr(2));
+    Schedule(m_now + kCrashDelay, [this, index, born = runner.born_ms()] {
+      if (m_runners[index].born_ms() == born) {
+        RestartRunner(index);
+      }
+    });
+  }
   if (!m_submitted.contains(run.m_task.m_job)) {
     RecordViolation("start of a job that was not submitted:", run);
   }
@@ -494,6 +510,29 @@
   }
 }
 
+jobs::JobId FakeWorkGroup::SubmitCrashing() {
+  const auto id = m_next_job++;
+  wire::SubmitCallT submit;
+  submit.job = std::make_unique<wire::JobSpecT>();
+  submit.job->id = jobs::JobIdText(id);
+  submit.host = kHost;
+  submit.path = kPrefix + submit.job->id;
+  auto step = std::make_unique<wire::StepSpecT>();
+  step->count = 1;
+  step->cpu_milli = 1000;
+  step->memory_mb = 500;
+  step->estimate_ms = 800;
+  submit.job->steps.push_back(std::move(step));
+  m_submitted.insert(id);
+  m_crashing_starts[id] = 0;
+  wire::CallBodyUnion body;
+  body.Set(std::move(submit));
+  if (const auto leader = Leader()) {
+    CallMember(*leader, std::move(body), nullptr);
+  }
+  return id;
+}
+
 void FakeWorkGroup::StartWave(std::uint32_t cap) {
   wire::StartUpkeepCallT start;
   start.upkeep = std::make_unique<wire::StartUpkeepT>();
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -68,6 +68,11 @@
 
   /** Submits a job of `count` long-running tasks with a budget of one. */
   void SubmitLongRunning(std::uint32_t count);
+  /**
+   * Submits a job of one task that crashes each runner soon after it starts.
+   * @return its id
+   */
+  jobs::JobId SubmitCrashing();
   /** Starts a wave of upkeep of all machines, at most `cap` at a time. */
   void StartWave(std::uint32_t cap);
   /** @return the number of upkeeps that the platform has begun. */
@@ -164,6 +169,8 @@
   std::map<jobs::TaskKey, std::uint32_t> m_failed;
   // Number of tasks of each job with long-running tasks.
   std::map<jobs::JobId, std::uint32_t> m_long_running_tasks;
+  // Number of starts of each job whose task crashes its runners.
+  std::map<jobs::JobId, std::uint32_t> m_crashing_starts;
   // When each long-running task was last running.
   std::map<jobs::TaskKey, Instant> m_last_running;
   // Long-running tasks ended by a stop or an upkeep and not started since.
--- a/tests/work_core_test.cc
+++ b/tests/work_core_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <string>
+#include <vector>
 
 #include "fake_work_group.h"
 
@@ -16,6 +17,7 @@
 // Seeds of the random test. BRONZEBARROW_SEEDS overrides the count,
 // BRONZEBARROW_FIRST_SEED the first seed.
 constexpr std::uint64_t kDefaultSeeds = 150;
+constexpr std::uint64_t kCrashSeeds = 24;
 
 std::uint64_t EnvironmentOr(const char* name, std::uint64_t default_value) {
   const char* const text = std::getenv(name);
@@ -31,6 +33,7 @@
   CPPUNIT_TEST(TasksOfUnresponsiveRunnerAreReassigned);
   CPPUNIT_TEST(WaveKeepsBudgetsWhileARunnerHasNoPower);
   CPPUNIT_TEST(WaveContinuesUnderNewOwner);
+  CPPUNIT_TEST(CrashesAreCountedAcrossOwners);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -204,6 +207,48 @@
     }
   }
 
+  // Guards against owners that each start a task that crashes its runners as
+  // often as the limit allows.
+  void CrashesAreCountedAcrossOwners() {
+    for (std::uint64_t seed = 1; seed <= kCrashSeeds; ++seed) {
+      FakeWorkGroup group(kMembers, kRunners, seed);
+      group.HealAll();
+      group.faults().m_run_fails = 0;
+      group.Advance(Millis(5000));
+      std::vector<jobs::JobId> crashing;
+      for (int round = 0; round < 6; ++round) {
+        group.Submit();
+        group.Submit();
+        crashing.push_back(group.SubmitCrashing());
+        // Between the start and the record of the crash, or later.
+        group.Advance(Millis(20 + 40 * (seed % 8)));
+        if (const auto leader = group.Leader()) {
+          group.Crash(*leader);
+          group.Advance(Millis(1500));
+          group.Restart(*leader);
+        }
+        group.Advance(Millis(1500));
+      }
+      group.Advance(Millis(30'000));
+      const std::string at = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::string(), group.violation());
+      const auto leader = group.Leader();
+      CPPUNIT_ASSERT_MESSAGE(at, leader);
+      for (const jobs::JobId id : crashing) {
+        const jobs::Job* const job = group.state(*leader).FindJob(id);
+        CPPUNIT_ASSERT_MESSAGE(
+            at, job == nullptr || job->m_state == jobs::JobState::kFailed);
+      }
+      for (const jobs::JobId id : group.accepted()) {
+        const jobs::Job* const job = group.state(*leader).FindJob(id);
+        CPPUNIT_ASSERT_MESSAGE(
+            at, job != nullptr && (job->m_state == jobs::JobState::kCompleted ||
+                                   std::find(crashing.begin(), crashing.end(),
+                                             id) != crashing.end()));
+      }
+    }
+  }
+
  private:
   static void InjectFault(FakeWorkGroup& group) {
     auto& random = group.random();
