Start jobs apart after crashes, and try bystanders first

While most crashes of a pool come just after a start, runs of one job only now start on a runner at a time, so a crash has one suspect and its bystanders need no trial. A suspect that was the only one comes after those that may be bystanders, and likely ones bring down a third of the pool at most instead of half. A run seen past its trial clears its task; the third crash of an only suspect fails its job also among crashes without a cause; suspects of older crashes only share a trial. The record of a crash and of a removal have new fields, empty in earlier logs.

--- a/include/bronzebarrow/jobs/crash_evidence.h
+++ b/include/bronzebarrow/jobs/crash_evidence.h
@@ -20,6 +20,8 @@
   std::uint64_t m_time_ms = 0;  // Unix time at which it was recorded.
   // Whether the run was in its trial period.
   bool m_just_started = false;
+  // Whether it was, and no run of another job was.
+  bool m_only_suspect = false;
 };
 
 /**
@@ -35,6 +37,9 @@
  */
 constexpr Duration kSettlingTime = Millis(500);
 
+/** @return whether any of the crashes came just after a start of the task. */
+bool HasCrashedAfterStart(const std::vector<RunnerCrash>& crashes);
+
 /** @return whether the next run of a task with these crashes needs a trial. */
 bool IsSuspect(const std::vector<RunnerCrash>& crashes);
 
@@ -44,12 +49,19 @@
  */
 bool IsToBlame(const std::vector<RunnerCrash>& crashes, bool conclusive);
 
+/**
+ * Updates the crashes of a task one of whose runs was seen past its trial
+ * period.
+ */
+void ClearSuspicion(std::vector<RunnerCrash>& crashes);
+
 /** A run that ended with its runner. */
 struct RunAtCrash {
   RunKey m_run;
   // For how long it was seen running; zero if its start was not confirmed.
   Duration m_seen_running = Duration::zero();
   Duration m_trial_period = Duration::zero();  // Of its task.
+  bool m_has_crashes = false;                  // Whether its task has.
   // False if an earlier owner started it, perhaps long ago.
   bool m_start_seen = true;
   // Whether its task is started together with the others of its step.
@@ -60,6 +72,9 @@
   std::vector<RunKey> m_new_runs;  // In their trial period.
   // Past it, or of unknown age, but not beyond suspicion.
   std::vector<RunKey> m_older_runs;
+  // Runs of tasks with earlier crashes that were seen past it, which shows that
+  // the task did not cause these.
+  std::vector<RunKey> m_cleared_runs;
   // Whether m_new_runs are those of one task or of one gang, and the crash is
   // unlikely to be a coincidence.
   bool m_conclusive = false;
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -127,6 +127,11 @@
   // Adds the crash of `runner` to the tasks of these runs.
   void RecordCrash(const std::vector<wire::TaskRef>& runs, bool just_started,
                    const Runner& runner);
+  // Removes the suspicion from the tasks of these runs.
+  void ClearRuns(const std::vector<wire::TaskRef>& runs, const Runner& runner);
+  // The task, if its job is active and exactly this run is assigned to the
+  // runner; null otherwise.
+  Task* FindActiveTask(const RunKey& run, const Runner& runner);
   // Ends the jobs of tasks that are to blame for the crash.
   void GiveUpTasksToBlame(const wire::RemoveRunnerT& remove,
                           ApplyResult& applied);
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,12 @@
   std::uint32_t m_step_tasks = 0;  // Its tasks of the step being placed.
   // Runs the trial of a suspect, or will: gets nothing else.
   bool m_kept_for_trial = false;
+  // Suspects that this pass starts there together: those of which no run has
+  // ended just after its start. They are many, and each is tried for long.
+  std::size_t m_shared_trials = 0;
+  // While jobs are kept apart: the only job that may start there now, if any
+  // has just started.
+  std::optional<jobs::JobId> m_starting_job;
 };
 
 /** Runs to assign to one runner. */
@@ -69,6 +76,15 @@
    */
   std::function<bool(const jobs::Runner& runner)> m_is_trying;
   std::function<bool(const jobs::Runner& runner)> m_has_unsettled_run;
+  /**
+   * Whether tasks are likely to have crashed runners of the pool lately. Then
+   * runs of one job only start on a runner at a time, so that a further crash
+   * has one suspect and no bystander of it needs a trial.
+   */
+  std::function<bool(const std::string& pool)> m_keeps_jobs_apart;
+  /** Jobs with runs there that are in their trial period. */
+  std::function<std::set<jobs::JobId>(const jobs::Runner& runner)>
+      m_starting_jobs;
   /** The pool's runners that crashed and may not be back yet. */
   std::function<std::size_t(const std::string& pool)> m_count_crashed;
   Adviser* m_adviser = nullptr;  // Null: queues that need advice get no runs.
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -115,6 +116,13 @@
   bool IsTrying(const std::string& runner, Instant now) const;
   /** @return whether any run there is younger than jobs::kSettlingTime. */
   bool HasUnsettledRun(const std::string& runner, Instant now) const;
+  /** As CrashHistory::CrashesAfterStarts. */
+  bool CrashesAfterStarts(const std::string& pool, Instant now) const {
+    return m_crash_history.CrashesAfterStarts(pool, now);
+  }
+  /** @return jobs with runs there that are in their trial period. */
+  std::set<jobs::JobId> StartingJobs(const std::string& runner,
+                                     Instant now) const;
   /** @return runners of the pool that crashed and may not be back yet. */
   std::size_t CountCrashed(const std::string& pool, Instant now) const {
     return m_crash_history.CountNotBack(pool, now);
@@ -125,6 +133,7 @@
   void RefreshLink(const std::string& runner, Instant now);
   // Adds the task to the link's trials if it is a suspect.
   void AddTrial(RunnerLink& link, const jobs::TaskKey& task) const;
+  std::vector<jobs::RunnerCrash> CrashesOf(const jobs::TaskKey& task) const;
   Duration TrialPeriodOf(const jobs::TaskKey& task) const;
   jobs::CrashEvidence AssessCrash(const RunnerLink& link,
                                   bool has_other_causes) const;
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -18,6 +18,9 @@
 // Crashes just after the start before a task is given up. One may be caused by
 // a neighbour or by the runner itself.
 constexpr std::ptrdiff_t kCrashesInTrial = 2;
+// As above while runners also crash without a cause: that two of these crashes
+// come just after starts of one task is too likely.
+constexpr std::ptrdiff_t kCrashesInTrialAmongOthers = 3;
 // A task is given up after this many crashes even if none was conclusive: the
 // users allow two further starts after three crashes.
 constexpr std::size_t kMaxCrashes = 5;
@@ -40,16 +43,34 @@
   return crashes.size() < kCrashesToLongTrial ? kTrialPeriod : kLongTrialPeriod;
 }
 
+bool HasCrashedAfterStart(const std::vector<RunnerCrash>& crashes) {
+  return CountInTrial(crashes) > 0;
+}
+
 bool IsSuspect(const std::vector<RunnerCrash>& crashes) {
-  return CountInTrial(crashes) > 0 || crashes.size() >= kCrashesToLongTrial;
+  return HasCrashedAfterStart(crashes) || crashes.size() >= kCrashesToLongTrial;
 }
 
 bool IsToBlame(const std::vector<RunnerCrash>& crashes, bool conclusive) {
   if (crashes.size() >= kMaxCrashes) {
     return true;
   }
-  return conclusive && (CountInTrial(crashes) >= kCrashesInTrial ||
-                        crashes.size() > kCrashesToLongTrial);
+  const std::ptrdiff_t in_trial = CountInTrial(crashes);
+  return (conclusive && (in_trial >= kCrashesInTrial ||
+                         crashes.size() > kCrashesToLongTrial)) ||
+         (in_trial >= kCrashesInTrialAmongOthers && !crashes.empty() &&
+          crashes.back().m_only_suspect);
+}
+
+void ClearSuspicion(std::vector<RunnerCrash>& crashes) {
+  if (crashes.size() >= kCrashesToLongTrial) {
+    crashes.clear();
+    return;
+  }
+  for (RunnerCrash& crash : crashes) {
+    crash.m_just_started = false;
+    crash.m_only_suspect = false;
+  }
 }
 
 CrashEvidence AssessCrash(const std::vector<RunAtCrash>& runs,
@@ -63,6 +84,9 @@
       if (run.m_seen_running < kLongTrialPeriod) {
         evidence.m_older_runs.push_back(run.m_run);
       }
+      if (run.m_has_crashes && run.m_seen_running >= run.m_trial_period) {
+        evidence.m_cleared_runs.push_back(run.m_run);
+      }
       continue;
     }
     evidence.m_conclusive =
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -35,6 +35,7 @@
           crash_image->runner = crash.m_runner;
           crash_image->time_ms = crash.m_time_ms;
           crash_image->just_started = crash.m_just_started;
+          crash_image->only_suspect = crash.m_only_suspect;
           task_image->crashes.push_back(std::move(crash_image));
         }
         step_image->tasks.push_back(std::move(task_image));
@@ -58,8 +59,8 @@
       task.m_runner = task_image->runner;
       task.m_checkpoint = task_image->checkpoint;
       for (const auto& crash : task_image->crashes) {
-        task.m_crashes.push_back(
-            {crash->runner, crash->time_ms, crash->just_started});
+        task.m_crashes.push_back({crash->runner, crash->time_ms,
+                                  crash->just_started, crash->only_suspect});
       }
       step.m_waiting += task.m_state == TaskState::kWaiting ? 1 : 0;
       step.m_assigned += task.m_state == TaskState::kAssigned ? 1 : 0;
--- a/src/jobs/work_runners.cc
+++ b/src/jobs/work_runners.cc
@@ -1,5 +1,6 @@
 // Applies the registration and the removal of runners to the work state, and
 // records the crashes that tasks may have caused.
+#include <algorithm>
 #include <utility>
 
 #include "bronzebarrow/jobs/work_state.h"
@@ -55,6 +56,7 @@
       runner->second.m_record.born_ms != remove.born_ms) {
     return;
   }
+  ClearRuns(remove.cleared_runs, runner->second);
   RecordCrash(remove.new_runs, true, runner->second);
   RecordCrash(remove.older_runs, false, runner->second);
   EndRunsAsLost(runner->second, applied);
@@ -68,22 +70,40 @@
 
 void WorkState::RecordCrash(const std::vector<wire::TaskRef>& runs,
                             bool just_started, const Runner& runner) {
+  const bool only_suspect =
+      just_started && std::all_of(runs.begin(), runs.end(), [&](const auto& r) {
+        return r.job() == runs.front().job();
+      });
   for (const wire::TaskRef& ref : runs) {
     const RunKey run = FromWire(ref);
-    const auto assigned = runner.m_assigned.find(run.m_task);
-    const auto job = m_jobs.find(run.m_task.m_job);
-    if (assigned == runner.m_assigned.end() || assigned->second != run.m_run ||
-        job == m_jobs.end() || job->second.m_state != JobState::kActive) {
-      continue;
+    if (Task* const task = FindActiveTask(run, runner)) {
+      task->m_crashes.push_back(
+          {runner.m_record.id, m_time_ms, just_started, only_suspect});
+      UpdateSuspects(m_jobs.at(run.m_task.m_job), run.m_task);
     }
-    Task* const task = job->second.FindTask(run.m_task);
-    if (task != nullptr) {
-      task->m_crashes.push_back({runner.m_record.id, m_time_ms, just_started});
-      UpdateSuspects(job->second, run.m_task);
+  }
+}
+
+void WorkState::ClearRuns(const std::vector<wire::TaskRef>& runs,
+                          const Runner& runner) {
+  for (const wire::TaskRef& ref : runs) {
+    const RunKey run = FromWire(ref);
+    if (Task* const task = FindActiveTask(run, runner)) {
+      ClearSuspicion(task->m_crashes);
+      UpdateSuspects(m_jobs.at(run.m_task.m_job), run.m_task);
     }
   }
 }
 
+Task* WorkState::FindActiveTask(const RunKey& run, const Runner& runner) {
+  const auto assigned = runner.m_assigned.find(run.m_task);
+  const auto job = m_jobs.find(run.m_task.m_job);
+  return assigned == runner.m_assigned.end() || assigned->second != run.m_run ||
+                 job == m_jobs.end() || job->second.m_state != JobState::kActive
+             ? nullptr
+             : job->second.FindTask(run.m_task);
+}
+
 void WorkState::GiveUpTasksToBlame(const wire::RemoveRunnerT& remove,
                                    ApplyResult& applied) {
   for (const auto* runs : {&remove.new_runs, &remove.older_runs}) {
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -450,6 +450,12 @@
   input.m_has_unsettled_run = [this](const jobs::Runner& runner) {
     return m_dispatcher.HasUnsettledRun(runner.m_record.id, m_moment.m_now);
   };
+  input.m_keeps_jobs_apart = [this](const std::string& pool) {
+    return m_dispatcher.CrashesAfterStarts(pool, m_moment.m_now);
+  };
+  input.m_starting_jobs = [this](const jobs::Runner& runner) {
+    return m_dispatcher.StartingJobs(runner.m_record.id, m_moment.m_now);
+  };
   input.m_count_crashed = [this](const std::string& pool) {
     return m_dispatcher.CountCrashed(pool, m_moment.m_now);
   };
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -23,6 +23,9 @@
                                         : runner.m_record.labels.back();
 }
 
+// Suspects that are tried on one runner at the same time.
+constexpr std::size_t kMaxSharedTrials = 8;
+
 /** One pass of planning over all pools. */
 class PlanningPass {
  public:
@@ -38,18 +41,21 @@
 
   // Suspects are placed before all other tasks: these would start anew on each
   // runner, so that no crash could be traced to one task.
-  // Those that have waited longest come first, so that none waits for ever.
+  // Those that were the only suspect of a crash come last: they are likely to
+  // crash another runner, and nothing is lost while they wait. Otherwise those
+  // that have waited longest come first, so that none waits for ever.
   void PlaceSuspects() {
     const jobs::WorkState& state = m_input.m_state;
-    std::vector<std::pair<std::uint64_t, jobs::TaskKey>> waiting;
+    std::vector<std::tuple<bool, std::uint64_t, jobs::TaskKey>> waiting;
     for (const jobs::TaskKey& key : state.suspects()) {
       const jobs::Task& task = *state.FindJob(key.m_job)->FindTask(key);
       if (task.m_state == jobs::TaskState::kWaiting) {
-        waiting.emplace_back(task.m_crashes.back().m_time_ms, key);
+        const jobs::RunnerCrash& crash = task.m_crashes.back();
+        waiting.emplace_back(crash.m_only_suspect, crash.m_time_ms, key);
       }
     }
     std::sort(waiting.begin(), waiting.end());
-    for (const auto& [crashed_ms, key] : waiting) {
+    for (const auto& [only_suspect, crashed_ms, key] : waiting) {
       const jobs::Job& job = *state.FindJob(key.m_job);
       const jobs::Occurrence& occurrence =
           job.m_occurrences.at(key.m_occurrence);
@@ -58,6 +64,7 @@
           queue == nullptr ? m_pools.end() : m_pools.find(queue->pool);
       if (pool != m_pools.end() && job.IsStepReady(occurrence, key.m_step)) {
         PlaceSuspect({&job, queue}, key, occurrence.m_steps[key.m_step],
+                     only_suspect && pool->second.m_keeps_jobs_apart,
                      pool->second);
       }
     }
@@ -98,6 +105,8 @@
     // may reserve a full runner.
     std::optional<jobs::Resources> m_least_need;
     std::vector<Candidate> m_candidates;
+    // Runs of one job only start on a runner at a time.
+    bool m_keeps_jobs_apart = false;
     std::size_t m_runners = 0;  // Usable, whether they are candidates or not.
     std::size_t m_trials = 0;   // Runners that try a suspect, or will.
     std::size_t m_crashed = 0;  // Runners that may not be back yet.
@@ -138,6 +147,8 @@
   void AddCandidates(const std::string& name, Pool& pool) {
     pool.m_crashed =
         m_input.m_count_crashed ? m_input.m_count_crashed(name) : 0;
+    pool.m_keeps_jobs_apart =
+        m_input.m_keeps_jobs_apart && m_input.m_keeps_jobs_apart(name);
     for (const auto& [id, runner] : m_input.m_state.RunnersOfPool(name)) {
       const jobs::Resources free = runner->FreeResources();
       if (runner->m_record.draining || !pool.m_least_need) {
@@ -151,14 +162,29 @@
       if (!free.Fits(*pool.m_least_need) || !m_input.m_is_usable(*runner)) {
         continue;
       }
+      std::set<jobs::JobId> starting_jobs;
+      if (pool.m_keeps_jobs_apart && m_input.m_starting_jobs) {
+        starting_jobs = m_input.m_starting_jobs(*runner);
+      }
+      if (starting_jobs.size() > 1) {
+        continue;  // They started before the crash.
+      }
       const bool goes_down_soon =
           m_input.m_goes_down_soon &&
           m_input.m_goes_down_soon(runner->m_record.machine);
       jobs::Resources free_without_finite = runner->TotalResources();
       free_without_finite.Add(runner->m_long_running_used, -1);
-      pool.m_candidates.push_back(
-          {runner, free, free_without_finite, goes_down_soon,
-           static_cast<std::int64_t>(runner->m_long_running), RackOf(*runner)});
+      Candidate& candidate = pool.m_candidates.emplace_back();
+      candidate.m_runner = runner;
+      candidate.m_free = free;
+      candidate.m_free_without_finite = free_without_finite;
+      candidate.m_goes_down_soon = goes_down_soon;
+      candidate.m_long_running =
+          static_cast<std::int64_t>(runner->m_long_running);
+      candidate.m_rack = RackOf(*runner);
+      if (!starting_jobs.empty()) {
+        candidate.m_starting_job = *starting_jobs.begin();
+      }
     }
   }
 
@@ -235,6 +261,9 @@
     }
     for (const auto& [candidate, run] : chosen) {
       AddPlacement(*candidate, run);
+      if (pool.m_keeps_jobs_apart) {
+        candidate->m_starting_job = run.m_task.m_job;
+      }
     }
   }
 
@@ -250,20 +279,37 @@
   // Places the suspect on a runner whose runs have all settled. If there is
   // none, keeps the best runner free of new runs until they have.
   void PlaceSuspect(const RankedJob& ranked, const jobs::TaskKey& key,
-                    const jobs::StepState& state, Pool& pool) {
+                    const jobs::StepState& state, bool is_likely_cause,
+                    Pool& pool) {
     if (pool.m_candidates.empty() || HasReachedMaxRuns()) {
       return;
     }
-    // Suspects that crash their runners must leave the pool most of them.
-    const std::size_t limit =
-        std::max<std::size_t>((pool.m_runners + pool.m_crashed - 1) / 2, 1);
-    if (pool.m_trials + pool.m_crashed >= limit) {
-      return;
-    }
     const wire::StepSpecT& spec = *ranked.m_job->m_spec.steps[key.m_step];
     const jobs::Task& task = state.m_tasks[key.m_index];
     const jobs::Resources need = jobs::ResourcesOf(spec);
     const auto tasks_on_rack = CountStepTasks(spec, state, pool.m_candidates);
+    const bool may_share = !jobs::HasCrashedAfterStart(task.m_crashes);
+    for (Candidate& candidate : pool.m_candidates) {
+      if (may_share && CanJoinTrial(candidate, key)) {
+        std::vector<Candidate> shared = {candidate};
+        shared.front().m_kept_for_trial = false;
+        if (FindBestCandidate(ranked, key, spec, task, need, tasks_on_rack,
+                              shared) != nullptr) {
+          AddPlacement(candidate, {key, task.m_run + 1});
+          candidate.m_free.Add(need, -1);
+          ++candidate.m_shared_trials;
+          return;
+        }
+      }
+    }
+    // Suspects that crash their runners must leave the pool most of them, also
+    // when a new task crashes one more.
+    const std::size_t runners = pool.m_runners + pool.m_crashed;
+    const std::size_t limit = std::max<std::size_t>(
+        is_likely_cause ? runners / 3 : (runners - 1) / 2, 1);
+    if (pool.m_trials + pool.m_crashed >= limit) {
+      return;
+    }
     std::vector<Candidate> settled;
     for (const Candidate& candidate : pool.m_candidates) {
       if (!candidate.m_kept_for_trial &&
@@ -288,10 +334,29 @@
     for (Candidate& candidate : pool.m_candidates) {
       if (candidate.m_runner == best->m_runner) {
         candidate.m_kept_for_trial = true;
+        if (ready != nullptr && may_share) {
+          candidate.m_free.Add(need, -1);
+          candidate.m_shared_trials = 1;
+        }
       }
     }
   }
 
+  // Tasks of one step are tried apart: how many of them a runner may have is
+  // only counted at the start of a pass.
+  bool CanJoinTrial(const Candidate& candidate,
+                    const jobs::TaskKey& key) const {
+    if (candidate.m_shared_trials == 0 ||
+        candidate.m_shared_trials >= kMaxSharedTrials) {
+      return false;
+    }
+    const std::vector<jobs::RunKey>& runs =
+        m_placements.at(candidate.m_runner->m_record.id).m_runs;
+    return std::none_of(runs.begin(), runs.end(), [&](const jobs::RunKey& run) {
+      return run.m_task.m_job == key.m_job && run.m_task.m_step == key.m_step;
+    });
+  }
+
   static void ReleaseCapacity(
       const std::vector<std::pair<Candidate*, jobs::RunKey>>& chosen,
       const wire::StepSpecT& spec, const jobs::Resources& need) {
@@ -326,7 +391,10 @@
       const jobs::Runner& runner = *candidate.m_runner;
       const std::string& id = runner.m_record.id;
       const bool is_kept_free =
-          candidate.m_kept_for_trial || (candidate.m_reserved && !spec.lasting);
+          candidate.m_kept_for_trial ||
+          (candidate.m_reserved && !spec.lasting) ||
+          (candidate.m_starting_job &&
+           *candidate.m_starting_job != ranked.m_job->m_id);
       if (is_kept_free || !candidate.m_free.Fits(need) ||
           !MeetsConstraints(spec, candidate)) {
         continue;
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -37,11 +37,15 @@
   }
 }
 
-Duration Dispatcher::TrialPeriodOf(const jobs::TaskKey& key) const {
+std::vector<jobs::RunnerCrash> Dispatcher::CrashesOf(
+    const jobs::TaskKey& key) const {
   const jobs::Job* const job = m_state.FindJob(key.m_job);
   const jobs::Task* const task = job == nullptr ? nullptr : job->FindTask(key);
-  return jobs::TrialPeriod(task == nullptr ? std::vector<jobs::RunnerCrash>()
-                                           : task->m_crashes);
+  return task == nullptr ? std::vector<jobs::RunnerCrash>() : task->m_crashes;
+}
+
+Duration Dispatcher::TrialPeriodOf(const jobs::TaskKey& key) const {
+  return jobs::TrialPeriod(CrashesOf(key));
 }
 
 bool Dispatcher::IsTrying(const std::string& runner, Instant now) const {
@@ -66,6 +70,20 @@
                      });
 }
 
+std::set<jobs::JobId> Dispatcher::StartingJobs(const std::string& runner,
+                                               Instant now) const {
+  std::set<jobs::JobId> jobs;
+  const RunnerLink* const link = FindLink(runner);
+  if (link != nullptr) {
+    for (const auto& [task, run] : link->m_tracked_runs) {
+      if (IsYoungerThan(TrialPeriodOf(task), run, now)) {
+        jobs.insert(task.m_job);
+      }
+    }
+  }
+  return jobs;
+}
+
 void Dispatcher::ProposeRemoval(const std::string& runner, RunnerLink& link,
                                 AnswerKind cause, Instant now) {
   if (link.m_removal_proposed) {
@@ -106,6 +124,9 @@
     for (const jobs::RunKey& run : evidence.m_older_runs) {
       remove.older_runs.push_back(jobs::ToWire(run));
     }
+    for (const jobs::RunKey& run : evidence.m_cleared_runs) {
+      remove.cleared_runs.push_back(jobs::ToWire(run));
+    }
     remove.conclusive = evidence.m_conclusive;
   }
   m_commands.emplace_back().Set(std::move(remove));
@@ -121,7 +142,9 @@
     }
     jobs::RunAtCrash& run = runs.emplace_back();
     run.m_run = {task, tracked.m_run};
-    run.m_trial_period = TrialPeriodOf(task);
+    const std::vector<jobs::RunnerCrash> crashes = CrashesOf(task);
+    run.m_trial_period = jobs::TrialPeriod(crashes);
+    run.m_has_crashes = !crashes.empty();
     const wire::StepSpecT* const step = m_state.FindStep(task);
     run.m_gang = step != nullptr && step->gang;
     run.m_start_seen = tracked.m_state != TrackedRunState::kInherited;
--- a/tests/crash_replay_test.cc
+++ b/tests/crash_replay_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(BystandersNeitherFailNorWait);
   CPPUNIT_TEST(PoolKeepsMostOfItsRunners);
   CPPUNIT_TEST(CrashesWithoutACauseFailNoJob);
+  CPPUNIT_TEST(BystandersOfManyCrashesAreTriedInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,25 @@
     }
   }
 
+  // Load pattern: a fifth of all jobs crash their runners for 45 s, so that
+  // first crashes, which nothing can foresee, keep most of the pool down.
+  // Target: within 15 s after the last job no task of a bystander waits, and
+  // none has failed.
+  void BystandersOfManyCrashesAreTriedInTime() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      LoadPattern pattern = Pattern(seed, 0.2);
+      pattern.m_queues[0].m_crashing_start = Duration::zero();
+      pattern.m_queues[0].m_crashing_length = Millis(45'000);
+      pattern.m_length = Millis(45'000);
+      const LoadResult result = Play(pattern);
+      const std::string at = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_MESSAGE(at, result.m_crashing.m_crashes > 10);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::size_t{0}, result.Total().m_failed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::size_t{0},
+                                   result.Total().m_unstarted);
+    }
+  }
+
  private:
   static LoadPattern Pattern(std::uint64_t seed, double crashing_share) {
     LoadPattern pattern;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -34,6 +34,10 @@
   CPPUNIT_TEST(PoolsShortOfCapacityKeepTheirMachines);
   CPPUNIT_TEST(RunnerThatShrankTakesNothingUntilItFits);
   CPPUNIT_TEST(SuspectIsTriedWithoutOtherNewRuns);
+  CPPUNIT_TEST(JobsStartApartAfterCrashesAtStarts);
+  CPPUNIT_TEST(SuspectThatMayBeABystanderIsTriedFirst);
+  CPPUNIT_TEST(LikelyCauseIsTriedByAThirdOfThePool);
+  CPPUNIT_TEST(SuspectsOfOlderCrashesShareATrial);
   CPPUNIT_TEST(TrialWaitsUntilTheOtherRunsHaveSettled);
   CPPUNIT_TEST(TrialsLeaveThePoolMostOfItsRunners);
   CPPUNIT_TEST_SUITE_END();
@@ -419,6 +423,69 @@
     CPPUNIT_ASSERT(PlanNow().empty());
   }
 
+  // Load pattern: some jobs crash runners at their start, and the others that
+  // have just started beside them are suspects as well.
+  void JobsStartApartAfterCrashesAtStarts() {
+    for (jobs::JobId id = 1; id <= 4; ++id) {
+      Submit(id, MakeStep(2), kNowMs);
+    }
+    m_keeps_jobs_apart = true;
+    m_starting = {{"r0", {1}}, {"r1", {8, 9}}};
+    std::map<std::string, std::set<jobs::JobId>> jobs_on;
+    for (const auto& [task, runner] : PlanNow()) {
+      jobs_on[runner].insert(task.m_job);
+    }
+    CPPUNIT_ASSERT(jobs_on["r0"] == std::set<jobs::JobId>{1} ||
+                   jobs_on["r0"].empty());
+    CPPUNIT_ASSERT(jobs_on["r1"].empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, jobs_on["r2"].size());
+    m_keeps_jobs_apart = false;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, PlanNow().size());
+  }
+
+  // Guards against bystanders that wait behind tasks that crash runner after
+  // runner.
+  void SuspectThatMayBeABystanderIsTriedFirst() {
+    MakeSuspects(1);
+    MakeSuspectsOfOneCrash({2, 3});
+    const auto runs = PlanNow();
+    CPPUNIT_ASSERT(!runs.contains({1, 0, 0, 0}));
+    CPPUNIT_ASSERT(runs.contains({2, 0, 0, 0}));
+  }
+
+  // Guards against a new task that brings down one more runner when half of the
+  // pool is down already.
+  void LikelyCauseIsTriedByAThirdOfThePool() {
+    MakeSuspects(1);
+    m_crashed = 2;  // Of five.
+    CPPUNIT_ASSERT(PlanNow().empty());
+    m_crashed = 1;
+    m_keeps_jobs_apart = true;
+    CPPUNIT_ASSERT(PlanNow().empty());
+    m_keeps_jobs_apart = false;
+    m_crashed = 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, PlanNow().size());
+  }
+
+  // Load pattern: runners crash by themselves so often that many tasks have
+  // seen three crashes, each some time after the start.
+  void SuspectsOfOlderCrashesShareATrial() {
+    std::vector<jobs::JobId> ids;
+    for (jobs::JobId id = 1; id <= 10; ++id) {
+      Submit(id, MakeStep(1), kNowMs);
+      ids.push_back(id);
+    }
+    for (std::uint32_t crash = 1; crash <= 3; ++crash) {
+      CrashUnder(ids, crash, false);
+    }
+    std::map<std::string, std::size_t> tried;
+    for (const auto& [task, runner] : PlanNow()) {
+      ++tried[runner];
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tried.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, tried.begin()->second);
+  }
+
  private:
   static constexpr std::int64_t kTaskMilli = 1'000;
   static constexpr std::int64_t kMachineMemoryMb = 64'000;
@@ -538,6 +605,38 @@
                          m_state->suspects().size());
   }
 
+  // The first runner crashes under run number `run` of the jobs' tasks and is
+  // back.
+  void CrashUnder(const std::vector<jobs::JobId>& jobs, std::uint32_t run,
+                  bool just_started) {
+    std::vector<jobs::TaskKey> tasks;
+    for (const jobs::JobId id : jobs) {
+      tasks.push_back({id, 0, 0, 0});
+    }
+    wire::AssignRunsT assign;
+    assign.runner = "r0";
+    wire::RemoveRunnerT remove;
+    remove.runner = "r0";
+    for (const jobs::TaskKey& task : tasks) {
+      assign.tasks.push_back(jobs::ToWire({task, run}));
+      (just_started ? remove.new_runs : remove.older_runs)
+          .push_back(jobs::ToWire({task, run}));
+    }
+    const wire::RunnerRecordT record = m_state->FindRunner("r0")->m_record;
+    Apply(std::move(assign), kNowMs);
+    Apply(std::move(remove), kNowMs);
+    wire::RegisterRunnerT again;
+    again.runner = std::make_unique<wire::RunnerRecordT>(record);
+    Apply(std::move(again), kNowMs);
+  }
+
+  void MakeSuspectsOfOneCrash(const std::vector<jobs::JobId>& jobs) {
+    for (const jobs::JobId id : jobs) {
+      Submit(id, MakeStep(1), kNowMs);
+    }
+    CrashUnder(jobs, 1, true);
+  }
+
   void EndRun(const jobs::TaskKey& task, const std::string& runner) {
     wire::EndRunsT ends;
     ends.runner = runner;
@@ -558,6 +657,12 @@
     input.m_has_unsettled_run = [this](const jobs::Runner& runner) {
       return m_unsettled.contains(runner.m_record.id);
     };
+    input.m_keeps_jobs_apart = [this](const std::string&) {
+      return m_keeps_jobs_apart;
+    };
+    input.m_starting_jobs = [this](const jobs::Runner& runner) {
+      return m_starting[runner.m_record.id];
+    };
     input.m_count_crashed = [this](const std::string&) { return m_crashed; };
     std::map<jobs::TaskKey, std::string> runs;
     for (const Placement& placement : PlanAssignments(input)) {
@@ -573,6 +678,9 @@
   std::set<std::string> m_trying;     // Runners that try a suspect.
   std::set<std::string> m_unsettled;  // Runners with a run that is new.
   std::size_t m_crashed = 0;          // Runners that are not back yet.
+  bool m_keeps_jobs_apart = false;
+  // Jobs that have just started, by runner.
+  std::map<std::string, std::set<jobs::JobId>> m_starting;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
