Space starts of different jobs by their assignments

The time counts from the assignment now; with the commit of the next one the starts are still a trial period apart.

--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -82,7 +82,7 @@
    * has one suspect and no bystander of it needs a trial.
    */
   std::function<bool(const std::string& pool)> m_keeps_jobs_apart;
-  /** Jobs with runs there that are in their trial period. */
+  /** Jobs with runs there that were assigned a moment ago. */
   std::function<std::set<jobs::JobId>(const jobs::Runner& runner)>
       m_starting_jobs;
   /** The pool's runners that crashed and may not be back yet. */
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -120,7 +120,7 @@
   bool CrashesAfterStarts(const std::string& pool, Instant now) const {
     return m_crash_history.CrashesAfterStarts(pool, now);
   }
-  /** @return jobs with runs there that are in their trial period. */
+  /** @return jobs with runs there that were assigned a moment ago. */
   std::set<jobs::JobId> StartingJobs(const std::string& runner,
                                      Instant now) const;
   /** @return runners of the pool that crashed and may not be back yet. */
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -318,6 +318,7 @@
       tracked = TrackedRun();
       AddTrial(link, run.m_task);
       tracked.m_run = run.m_run;
+      tracked.m_assigned_at = now;
       tracked.m_reported_at = now;
       const auto ticket = m_tickets.find(run.m_task);
       if (ticket != m_tickets.end()) {
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -9,6 +9,11 @@
 namespace bronzebarrow::runs {
 namespace {
 
+// From the assignment of a run until one of another job is planned for the
+// runner, while jobs are kept apart. With the time to commit that one it is no
+// less than a trial period, so that a crash in between has one suspect.
+constexpr Duration kStartSpacing = Millis(20);
+
 // For how long the run was running while its runner was known to be alive; zero
 // if its start was not confirmed.
 Duration SeenRunning(const RunnerLink& link, const TrackedRun& run) {
@@ -76,7 +81,8 @@
   const RunnerLink* const link = FindLink(runner);
   if (link != nullptr) {
     for (const auto& [task, run] : link->m_tracked_runs) {
-      if (IsYoungerThan(TrialPeriodOf(task), run, now)) {
+      if (MayBeRunning(run) && run.m_assigned_at != Instant() &&
+          now < run.m_assigned_at + kStartSpacing) {
         jobs.insert(task.m_job);
       }
     }
