Check ends acknowledged after a later start, and log lost ends

FakeWorkGroup found a start after a done run only if the end had been acknowledged before the start; it now also finds one whose end is acknowledged later, as the users count it.

Two cases left no line: a runner removed for an upkeep or a move with runs on it, and an end that is listed for a run that the log no longer assigns. Both are logged.

--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -654,6 +654,12 @@
             now + m_options.m_move_duration;
       }
       if (!operation.m_runner.empty()) {
+        const jobs::Runner* const runner =
+            m_state.FindRunner(operation.m_runner);
+        EventLine(Event::kRunnerRemoved)
+            .Field("runner", operation.m_runner)
+            .Field("cause", is_upkeep ? "upkeep" : "move")
+            .Field("runs", runner == nullptr ? 0 : runner->m_assigned.size());
         wire::RemoveRunnerT remove;
         remove.runner = operation.m_runner;
         remove.born_ms = operation.m_born_ms;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -616,6 +616,12 @@
     const auto tracked = link.m_tracked_runs.find(row.m_run.m_task);
     if (tracked == link.m_tracked_runs.end() ||
         tracked->second.m_run != row.m_run.m_run) {
+      EventLine(Event::kRunEnded, Severity::kWarning)
+          .Field("task", jobs::TaskText(row.m_run.m_task))
+          .Field("run", row.m_run.m_run)
+          .Field("runner", call.m_runner)
+          .Field("how", wire::EnumNameEndKind(row.m_how))
+          .Field("cause", "not assigned to the runner");
       continue;
     }
     tracked->second.m_reported_at = now;
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -105,6 +105,11 @@
                                     wire::EndKind how) {
     if (how == wire::EndKind::Done) {
       m_done.insert(run.m_task);
+      // It had ended before the later run started: two at the same time are
+      // found at the start.
+      if (m_latest_start[run.m_task] > run.m_run) {
+        RecordViolation("started again after this run was done:", run);
+      }
     } else if (how == wire::EndKind::Failed) {
       ++m_failed[run.m_task];
     }
@@ -123,6 +128,8 @@
 void FakeWorkGroup::OnStart(const FakeRunner& runner, const jobs::RunKey& run) {
   ++m_starts;
   m_evicted.erase(run.m_task);
+  std::uint32_t& latest_start = m_latest_start[run.m_task];
+  latest_start = std::max(latest_start, run.m_run);
   const auto crashing = m_crashing_starts.find(run.m_task.m_job);
   if (crashing != m_crashing_starts.end()) {
     if (++crashing->second > kMaxCrashingStarts) {
@@ -397,9 +404,10 @@
       runner.running().contains(task)) {
     CheckBudget(task);
   }
-  const Duration span = is_long_running
-                            ? Duration(std::chrono::hours(1))
-                            : Millis(200) + RandomDelay(Millis(1500));
+  const Duration span =
+      is_long_running
+          ? Duration(std::chrono::hours(1))
+          : Millis(200) + RandomDelay(m_faults.m_max_run - Millis(200));
   const runs::RunnerAnswer answer =
       runner.Handle(call, m_now, span, Chance(m_faults.m_run_fails));
   if (!answered) {
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -32,6 +32,7 @@
   // Upper bounds of the random times.
   Duration m_max_delay = Millis(15);
   Duration m_max_sync = Millis(15);
+  Duration m_max_run = Millis(1700);  // Of tasks that are not long-running.
 };
 
 class FakeWorkGroup {
@@ -165,6 +166,8 @@
   std::set<jobs::JobId> m_cancelled;
   std::set<jobs::JobId> m_cancels_sent;
   std::set<jobs::TaskKey> m_done;  // Acknowledged to the runner as done.
+  // The highest number of a run of each task that was started.
+  std::map<jobs::TaskKey, std::uint32_t> m_latest_start;
   // Number of runs of each task that were acknowledged as failed.
   std::map<jobs::TaskKey, std::uint32_t> m_failed;
   // Number of tasks of each job with long-running tasks.
--- a/tests/work_core_test.cc
+++ b/tests/work_core_test.cc
@@ -17,6 +17,7 @@
 // Seeds of the random test. BRONZEBARROW_SEEDS overrides the count,
 // BRONZEBARROW_FIRST_SEED the first seed.
 constexpr std::uint64_t kDefaultSeeds = 150;
+constexpr std::uint64_t kOwnerChangeSeeds = 40;
 constexpr std::uint64_t kCrashSeeds = 24;
 
 std::uint64_t EnvironmentOr(const char* name, std::uint64_t default_value) {
@@ -28,6 +29,7 @@
   CPPUNIT_TEST_SUITE(WorkCoreTest);
   CPPUNIT_TEST(FaultFreeGroupCompletesEveryJob);
   CPPUNIT_TEST(GuaranteesHoldUnderRandomFaults);
+  CPPUNIT_TEST(RunThatIsDoneAsTheOwnerChangesIsNotStartedAgain);
   CPPUNIT_TEST(NewLeaderResumesBeforeLeasesExpire);
   CPPUNIT_TEST(LeaderWithStalledDiskHandsOffLeadership);
   CPPUNIT_TEST(TasksOfUnresponsiveRunnerAreReassigned);
@@ -72,6 +74,60 @@
     }
   }
 
+  // Load pattern: runs of some seconds end around changes of the owner, while a
+  // member loses its disk, the leader is cut off from the other members but
+  // not from the runners, a wave is under way, and answers overtake each other.
+  void RunThatIsDoneAsTheOwnerChangesIsNotStartedAgain() {
+    const std::uint64_t first = EnvironmentOr("BRONZEBARROW_FIRST_SEED", 1);
+    const std::uint64_t count =
+        EnvironmentOr("BRONZEBARROW_SEEDS", kOwnerChangeSeeds);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+      FakeWorkGroup group(kMembers, kRunners, seed);
+      auto& random = group.random();
+      group.HealAll();
+      group.faults().m_run_fails = 0;
+      group.Advance(Millis(5000));
+      group.faults().m_max_delay = Millis(5 + random() % 150);
+      group.faults().m_answer_lost = 0.02;
+      group.faults().m_call_delayed = 0.02;
+      group.faults().m_max_run = Millis(6000);
+      for (int round = 0; round < 3 && group.violation().empty(); ++round) {
+        SubmitFor(group, Millis(2000));
+        const auto leader = group.Leader();
+        if (random() % 2 == 0) {
+          const std::size_t lost =
+              (leader.value_or(0) + 1 + random() % 4) % kMembers;
+          group.LoseDisk(lost);
+          SubmitFor(group, Millis(2000 + random() % 2000));
+          group.Restart(lost);
+          SubmitFor(group, Millis(random() % 1200));
+        }
+        if (round == 1) {
+          group.StartWave(3);
+        }
+        const std::size_t cut = group.Leader().value_or(0);
+        for (std::size_t other = 0; other < kMembers; ++other) {
+          if (other != cut) {
+            group.Disconnect(cut, other, true);
+          }
+        }
+        SubmitFor(group, Millis(3000 + random() % 3000));
+        for (std::size_t other = 0; other < kMembers; ++other) {
+          group.Restart(other);
+          if (other != cut) {
+            group.Disconnect(cut, other, false);
+          }
+        }
+        SubmitFor(group, Millis(3000));
+      }
+      group.HealAll();
+      group.Advance(Millis(30'000));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                   std::string(), group.violation());
+      CheckAllEnded(group, seed);
+    }
+  }
+
   // Guards against a leader that keeps the leadership while its disk is
   // stalled: it applies nothing until the disk responds again.
   void LeaderWithStalledDiskHandsOffLeadership() {
@@ -250,6 +306,13 @@
   }
 
  private:
+  static void SubmitFor(FakeWorkGroup& group, Duration span) {
+    for (Duration done = Duration::zero(); done < span; done += Millis(200)) {
+      group.Submit();
+      group.Advance(Millis(200));
+    }
+  }
+
   static void InjectFault(FakeWorkGroup& group) {
     auto& random = group.random();
     const std::size_t member = random() % group.members();
