State what the trials of suspects cover, and name it for readers

CrashesAfterStarts is a predicate and is called CrashesFollowStarts; no decision changes. placement, dispatcher, work_state and crash_replay tests pass.

--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -31,8 +31,8 @@
   std::uint32_t m_step_tasks = 0;  // Its tasks of the step being placed.
   // Runs the trial of a suspect, or will: gets nothing else.
   bool m_kept_for_trial = false;
-  // Suspects that this pass starts there together: those of which no run has
-  // ended just after its start. They are many, and each is tried for long.
+  // Suspects that this pass tries there together: those whose runners have not
+  // crashed just after a start. They are many, and each is tried for long.
   std::size_t m_shared_trials = 0;
   // While jobs are kept apart: the only job that may start there now, if any
   // has just started.
--- a/include/bronzebarrow/runs/crash_history.h
+++ b/include/bronzebarrow/runs/crash_history.h
@@ -21,7 +21,7 @@
    * @return whether most crashes in the pool lately came just after a start, so
    * that tasks are more likely to be their cause than the runners
    */
-  bool CrashesAfterStarts(const std::string& pool, Instant now) const;
+  bool CrashesFollowStarts(const std::string& pool, Instant now) const;
   /** @return runners of the pool that may not have started again yet. */
   std::size_t CountNotBack(const std::string& pool, Instant now) const;
   /**
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -116,9 +116,9 @@
   bool IsTrying(const std::string& runner, Instant now) const;
   /** @return whether any run there is younger than jobs::kSettlingTime. */
   bool HasUnsettledRun(const std::string& runner, Instant now) const;
-  /** As CrashHistory::CrashesAfterStarts. */
-  bool CrashesAfterStarts(const std::string& pool, Instant now) const {
-    return m_crash_history.CrashesAfterStarts(pool, now);
+  /** As CrashHistory::CrashesFollowStarts. */
+  bool CrashesFollowStarts(const std::string& pool, Instant now) const {
+    return m_crash_history.CrashesFollowStarts(pool, now);
   }
   /** @return jobs with runs there that were assigned a moment ago. */
   std::set<jobs::JobId> StartingJobs(const std::string& runner,
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -18,8 +18,8 @@
 // Crashes just after the start before a task is given up. One may be caused by
 // a neighbour or by the runner itself.
 constexpr std::ptrdiff_t kCrashesInTrial = 2;
-// As above while runners also crash without a cause: that two of these crashes
-// come just after starts of one task is too likely.
+// As kCrashesInTrial while runners also crash without a cause: two such crashes
+// may come just after starts of one task by chance.
 constexpr std::ptrdiff_t kCrashesInTrialAmongOthers = 3;
 // A task is given up after this many crashes even if none was conclusive: the
 // users allow two further starts after three crashes.
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -451,7 +451,7 @@
     return m_dispatcher.HasUnsettledRun(runner.m_record.id, m_moment.m_now);
   };
   input.m_keeps_jobs_apart = [this](const std::string& pool) {
-    return m_dispatcher.CrashesAfterStarts(pool, m_moment.m_now);
+    return m_dispatcher.CrashesFollowStarts(pool, m_moment.m_now);
   };
   input.m_starting_jobs = [this](const jobs::Runner& runner) {
     return m_dispatcher.StartingJobs(runner.m_record.id, m_moment.m_now);
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -288,22 +288,25 @@
     const jobs::Task& task = state.m_tasks[key.m_index];
     const jobs::Resources need = jobs::ResourcesOf(spec);
     const auto tasks_on_rack = CountStepTasks(spec, state, pool.m_candidates);
+    // Without a crash just after a start it is probably a bystander.
     const bool may_share = !jobs::HasCrashedAfterStart(task.m_crashes);
     for (Candidate& candidate : pool.m_candidates) {
-      if (may_share && CanJoinTrial(candidate, key)) {
-        std::vector<Candidate> shared = {candidate};
-        shared.front().m_kept_for_trial = false;
-        if (FindBestCandidate(ranked, key, spec, task, need, tasks_on_rack,
-                              shared) != nullptr) {
-          AddPlacement(candidate, {key, task.m_run + 1});
-          candidate.m_free.Add(need, -1);
-          ++candidate.m_shared_trials;
-          return;
-        }
+      if (!may_share || !CanJoinTrial(candidate, key)) {
+        continue;
+      }
+      // The runner is kept for trials, and this is one.
+      std::vector<Candidate> shared = {candidate};
+      shared.front().m_kept_for_trial = false;
+      if (FindBestCandidate(ranked, key, spec, task, need, tasks_on_rack,
+                            shared) != nullptr) {
+        AddPlacement(candidate, {key, task.m_run + 1});
+        candidate.m_free.Add(need, -1);
+        ++candidate.m_shared_trials;
+        return;
       }
     }
-    // Suspects that crash their runners must leave the pool most of them, also
-    // when a new task crashes one more.
+    // Suspects that crash their runners must leave the pool most of them, and
+    // likely ones also when a new task crashes one more.
     const std::size_t runners = pool.m_runners + pool.m_crashed;
     const std::size_t limit = std::max<std::size_t>(
         is_likely_cause ? runners / 3 : (runners - 1) / 2, 1);
--- a/src/runs/crash_history.cc
+++ b/src/runs/crash_history.cc
@@ -38,8 +38,8 @@
                                  }));
 }
 
-bool CrashHistory::CrashesAfterStarts(const std::string& pool,
-                                      Instant now) const {
+bool CrashHistory::CrashesFollowStarts(const std::string& pool,
+                                       Instant now) const {
   const auto found = m_crashes.find(pool);
   if (found == m_crashes.end()) {
     return false;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -350,18 +350,18 @@
   }
 
   void JobsAreKeptApartOnlyWhileCrashesFollowStarts() {
-    CPPUNIT_ASSERT(!m_dispatcher->CrashesAfterStarts("pool", m_now));
+    CPPUNIT_ASSERT(!m_dispatcher->CrashesFollowStarts("pool", m_now));
     Assign(1, 1, RunnerId(0));
     CPPUNIT_ASSERT(m_dispatcher->StartingJobs(RunnerId(0), m_now) ==
                    std::set<jobs::JobId>{1});
     Apply(CrashFirstRunner());
-    CPPUNIT_ASSERT(m_dispatcher->CrashesAfterStarts("pool", m_now));
-    CPPUNIT_ASSERT(!m_dispatcher->CrashesAfterStarts("other", m_now));
+    CPPUNIT_ASSERT(m_dispatcher->CrashesFollowStarts("pool", m_now));
+    CPPUNIT_ASSERT(!m_dispatcher->CrashesFollowStarts("other", m_now));
     RegisterFirstRunnerAgain();
     AssignAndAge(2, 1, Millis(300));
     CPPUNIT_ASSERT(m_dispatcher->StartingJobs(RunnerId(0), m_now).empty());
     Apply(CrashFirstRunner());
-    CPPUNIT_ASSERT(!m_dispatcher->CrashesAfterStarts("pool", m_now));
+    CPPUNIT_ASSERT(!m_dispatcher->CrashesFollowStarts("pool", m_now));
   }
 
   void RunnerTriesASuspectForItsTrialPeriod() {
