--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -609,15 +609,12 @@
   // back.
   void CrashUnder(const std::vector<jobs::JobId>& jobs, std::uint32_t run,
                   bool just_started) {
-    std::vector<jobs::TaskKey> tasks;
-    for (const jobs::JobId id : jobs) {
-      tasks.push_back({id, 0, 0, 0});
-    }
     wire::AssignRunsT assign;
     assign.runner = "r0";
     wire::RemoveRunnerT remove;
     remove.runner = "r0";
-    for (const jobs::TaskKey& task : tasks) {
+    for (const jobs::JobId id : jobs) {
+      const jobs::TaskKey task = {id, 0, 0, 0};
       assign.tasks.push_back(jobs::ToWire({task, run}));
       (just_started ? remove.new_runs : remove.older_runs)
           .push_back(jobs::ToWire({task, run}));
