Space starts of different jobs by the trial period itself

The spacing of 20 ms was only enough where a commit takes 10 ms and more, as on the deployments at hand; on a faster disk two jobs would be suspects of one crash. A run of another job is now planned a trial period after the assignment of the last one, so the spacing holds with any commit time, and the constant goes.

--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -31,8 +31,8 @@
   std::uint32_t m_step_tasks = 0;  // Its tasks of the step being placed.
   // Runs the trial of a suspect, or will: gets nothing else.
   bool m_kept_for_trial = false;
-  // Suspects that this pass tries there together: those whose runners have not
-  // crashed just after a start. They are many, and each is tried for long.
+  // Suspects that this pass starts there together: those without a crash just
+  // after a start. Their trials last a second each, too long for one by one.
   std::size_t m_shared_trials = 0;
   // While jobs are kept apart: the only job that may start there now, if any
   // has just started.
@@ -82,7 +82,7 @@
    * has one suspect and no bystander of it needs a trial.
    */
   std::function<bool(const std::string& pool)> m_keeps_jobs_apart;
-  /** Jobs with runs there that were assigned a moment ago. */
+  /** Jobs with runs that were assigned to it within their trial period. */
   std::function<std::set<jobs::JobId>(const jobs::Runner& runner)>
       m_starting_jobs;
   /** The pool's runners that crashed and may not be back yet. */
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -120,7 +120,10 @@
   bool CrashesFollowStarts(const std::string& pool, Instant now) const {
     return m_crash_history.CrashesFollowStarts(pool, now);
   }
-  /** @return jobs with runs there that were assigned a moment ago. */
+  /**
+   * @return jobs with runs that were assigned to the runner within their trial
+   * period; a run planned after it starts when they are past theirs
+   */
   std::set<jobs::JobId> StartingJobs(const std::string& runner,
                                      Instant now) const;
   /** @return runners of the pool that crashed and may not be back yet. */
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -9,8 +9,8 @@
 // A task that crashes its runner does so soon after its start. A longer period
 // makes more bystanders suspects and occupies a runner for longer with each.
 constexpr Duration kTrialPeriod = Millis(30);
-// From this number of crashes on a task is tried for longer, because it may be
-// one that crashes its runner later.
+// From this number of crashes on, trials last longer: the task may crash its
+// runners some time after its start.
 constexpr std::size_t kCrashesToLongTrial = 3;
 // A run past it is not suspected: long-running tasks are on many runners that
 // crash for other reasons.
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -23,7 +23,8 @@
                                         : runner.m_record.labels.back();
 }
 
-// Suspects that are tried on one runner at the same time.
+// Limit of suspects whose trials share a runner: if it crashes, all of them
+// need a trial of their own.
 constexpr std::size_t kMaxSharedTrials = 8;
 
 /** One pass of planning over all pools. */
@@ -41,8 +42,8 @@
 
   // Suspects are placed before all other tasks: these would start anew on each
   // runner, so that no crash could be traced to one task.
-  // Those that were the only suspect of a crash come last: they are likely to
-  // crash another runner, and nothing is lost while they wait. Otherwise those
+  // Those that were the only suspect of a crash come last, because they are
+  // likely to crash another runner, with the runs of others. Otherwise those
   // that have waited longest come first, so that none waits for ever.
   void PlaceSuspects() {
     const jobs::WorkState& state = m_input.m_state;
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -9,13 +9,8 @@
 namespace bronzebarrow::runs {
 namespace {
 
-// From the assignment of a run until one of another job is planned for the
-// runner, while jobs are kept apart. With the time to commit that one it is no
-// less than a trial period, so that a crash in between has one suspect.
-constexpr Duration kStartSpacing = Millis(20);
-
-// For how long the run was running while its runner was known to be alive; zero
-// if its start was not confirmed.
+// The time between the confirmed start of the run and the last sign that its
+// runner's process ran; zero if the start was not confirmed.
 Duration SeenRunning(const RunnerLink& link, const TrackedRun& run) {
   return run.m_started_at == Instant()
              ? Duration::zero()
@@ -82,7 +77,7 @@
   if (link != nullptr) {
     for (const auto& [task, run] : link->m_tracked_runs) {
       if (MayBeRunning(run) && run.m_assigned_at != Instant() &&
-          now < run.m_assigned_at + kStartSpacing) {
+          now < run.m_assigned_at + TrialPeriodOf(task)) {
         jobs.insert(task.m_job);
       }
     }
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -332,7 +332,7 @@
     CPPUNIT_ASSERT(m_state->suspects().empty());
   }
 
-  // The owner knows which runs have shown that they crash no runner.
+  // A run that was seen past its trial period does not crash its runners.
   void SuspectThatRanPastItsTrialIsCleared() {
     Assign(1, 1, RunnerId(0));
     Apply(CrashFirstRunner());
