Review, case 3: a gang that checkpoints never works again after a crash

Seen: the runner of one member crashes; from then on the members are started with different checkpoints, end `alone` each time, and the job makes no progress.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -23,6 +23,7 @@
 HEARTBEAT_S = 1.5  # heartbeat_ms of the settings
 ACK_S = 1.0  # an acknowledgement counts if it arrives within a second
 HOLD_MAX_MS = 6000
+GANG_WAIT_S, CHECKPOINT_S, RESTORE_S = 3.0, 0.5, 0.6
 STOP_GRACE_S = 0.2
 # One process notes all starts and ends, in the order in which it reads its
 # sockets; a shorter overlap may be due to that.
@@ -238,10 +239,13 @@
     def __init__(self, task, run_id, spec, runner, now):
         self.task, self.run_id, self.spec = task, run_id, spec
         self.runner, self.born = runner.id, runner.born
+        self.at = runner
         self.begun, self.ended, self.how = now, None, None
+        self.gang = None
         match = re.search(r"work_ms=(\d+)", spec)
         self.work_s = int(match.group(1)) / 1000 if match else 1.0
         self.fails = "fails" in spec
+        self.value = ""  # checkpoint that the start carried
 
     def text(self):
         return "%s run %d on %s (born %d): %.3f s to %s%s" % (
@@ -250,6 +254,31 @@
             "" if self.how is None else ", " + self.how)
 
 
+class Gang:
+    """The members of one run of a gang: they work from when all are present, which
+    they only are if all carry the same checkpoint, and end together."""
+
+    def __init__(self, count, work_s, now):
+        self.count, self.work_s, self.created = count, work_s, now
+        self.members, self.working_from, self.start_s = {}, None, 0.0
+
+    def join(self, run, now):
+        self.members[run.task] = run
+        values = {member.value for member in self.members.values()}
+        if len(self.members) == self.count and len(values) == 1:
+            value = values.pop()
+            self.start_s = int(value, 16) / 1000 if value else 0.0
+            self.working_from = now + (RESTORE_S if value else 0.0)
+
+    def worked_s(self, now):
+        done = 0.0 if self.working_from is None else max(0.0, now - self.working_from)
+        return min(self.work_s, self.start_s + done)
+
+    def checkpoint(self, run, now):
+        saved = int(self.worked_s(now) / CHECKPOINT_S) * CHECKPOINT_S
+        return "%016x" % int(saved * 1000) if saved > self.start_s else run.value
+
+
 class Runner:
     """One runner; begin() starts an incarnation, end() ends it."""
 
@@ -318,7 +347,13 @@
         run.ended, run.how = self.record.now(), how
         self.running.pop(run.task, None)
         self.closed[run.task] = max(self.closed.get(run.task, 0), run.run_id)
-        self.finished.append([self.next_end, run.task, run.run_id, how, ""])
+        gang = run.gang
+        saved = gang.checkpoint(run, run.ended) if gang else ""
+        self.finished.append([self.next_end, run.task, run.run_id, how, saved])
+        if gang and gang.members.pop(run.task, None):
+            for other in list(gang.members.values()):
+                if gang.working_from is not None:
+                    other.at._close(other, how if how == "done" else "broken")
         self.next_end += 1
         self.changed.set()
         self.record("run   %s" % run.text())
@@ -329,7 +364,16 @@
             now = self.record.now()
             lapsed = self.clock_ms() >= self.lease_ms
             for run in list(self.running.values()):
-                if now - run.begun >= run.work_s:
+                if run.ended is not None:
+                    continue
+                if run.gang:
+                    if run.gang.worked_s(now) >= run.gang.work_s:
+                        self._close(run, "done")
+                    elif run.gang.working_from is None and now - run.begun >= GANG_WAIT_S:
+                        self._close(run, "alone")
+                    elif lapsed:
+                        self._close(run, "lapsed")
+                elif now - run.begun >= run.work_s:
                     self._close(run, "failed" if run.fails else "done")
                 elif lapsed:
                     self._close(run, "lapsed")
@@ -429,7 +473,7 @@
                 except asyncio.TimeoutError:
                     break
             now = self.record.now()
-            rows = [[run.task, run.run_id, "",
+            rows = [[run.task, run.run_id, run.gang.checkpoint(run, now) if run.gang else "",
                      min(100, int(100 * (now - run.begun) / run.work_s)), 1000]
                     for run in self.running.values()]
             return 200, {"running": rows, "finished": self.finished[:500]}
@@ -450,9 +494,13 @@
         if cost + sum(self.group.cpu_of(name) for name in self.running) > self.cpu:
             return 409, {"reason": "room"}
         run = Run(task, run_id, body.get("spec", ""), self, self.record.now())
+        run.value = body.get("checkpoint", "")
         self.running[task] = run
         self.group.runs.append(run)
-        self.record("begin %s" % run.text())
+        self.record("begin %s%s" % (run.text(), run.value and ", from checkpoint " + run.value))
+        run.gang = self.group.gang_of(run)
+        if run.gang:
+            run.gang.join(run, run.begun)
         return 200, {}
 
 
@@ -466,6 +514,7 @@
         self.record = Record(folder)
         self.temp = tempfile.mkdtemp(prefix="review-")
         self.processes, self.runs, self.runners, self.jobs = {}, [], [], {}
+        self.gangs = {}
         self.attempts = attempts
         self.services = [{"name": self.SERVICE, "health_path": "/healthz",
                           "max_connections": 64, "protocol": "h1", "tls": False,
@@ -507,6 +556,16 @@
         job, _, step, _ = task.split(".")
         return self.jobs[job]["steps"][int(step)]["cpu"] if job in self.jobs else 1000
 
+    def gang_of(self, run):
+        job, occurrence, step, _ = run.task.split(".")
+        spec = self.jobs[job]["steps"][int(step)] if job in self.jobs else {}
+        if not spec.get("gang"):
+            return None
+        key = (job, occurrence, step, run.run_id)
+        if key not in self.gangs:
+            self.gangs[key] = Gang(spec["count"], run.work_s, run.begun)
+        return self.gangs[key]
+
     def _settings(self, name, bootstrap):
         ip, ports, member = self.ip(name), self.ports, name[0] == "m"
         data = os.path.join(self.temp, name + ".data")
