--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -207,7 +207,11 @@
 
     async def _serve(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
-        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
         self.writers |= {writer, far_writer}
 
         async def copy(source, sink, is_answer):
@@ -258,8 +262,8 @@
     """The members of one run of a gang: they work from when all are present, which
     they only are if all carry the same checkpoint, and end together."""
 
-    def __init__(self, count, work_s, now):
-        self.count, self.work_s, self.created = count, work_s, now
+    def __init__(self, count, work_s, checkpoints):
+        self.count, self.work_s, self.checkpoints = count, work_s, checkpoints
         self.members, self.working_from, self.start_s = {}, None, 0.0
 
     def join(self, run, now):
@@ -276,7 +280,8 @@
 
     def checkpoint(self, run, now):
         saved = int(self.worked_s(now) / CHECKPOINT_S) * CHECKPOINT_S
-        return "%016x" % int(saved * 1000) if saved > self.start_s else run.value
+        is_new = self.checkpoints and saved > self.start_s
+        return "%016x" % int(saved * 1000) if is_new else run.value
 
 
 class Runner:
@@ -563,7 +568,8 @@
             return None
         key = (job, occurrence, step, run.run_id)
         if key not in self.gangs:
-            self.gangs[key] = Gang(spec["count"], run.work_s, run.begun)
+            self.gangs[key] = Gang(spec["count"], run.work_s,
+                                   spec.get("checkpointing", False))
         return self.gangs[key]
 
     def _settings(self, name, bootstrap):
