Wait for proof before a refused runner's runs are lost

Ruled out: a lease that is shorter on the owner's clock (no runner_lapsed came first), a run list without the runs. runner_silent now tells refused, broken and timed out calls apart.

Change: a refused call is a call without an answer; only a first start call that is refused ends its own run, as it was not sent. What proves an end sooner than the lease: the platform's list of machines, read when a runner with runs falls silent, and a later runner of its machine. A crash is counted against runs only if it is proved.

Evidence: RefusedConnectionsDoNotEndRunsBeforeTheLease and ListedEndEndsTheRunsOfASilentRunner fail when the condition on tracked runs in OnSilence is taken out (refused as proof); AnswerKind is renamed, so they do not compile on the old code. RefusedStartIsNoSuspect and CrashFirstRunner of dispatcher_test were built on the refused connection as proof; they now ask for the lost run at once and for the proof by the list, which is as strict.

--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -23,10 +23,11 @@
 struct ApplyResult {
   std::uint64_t m_token = 0;  // Token of the command.
   wire::WorkBody m_kind = wire::WorkBody::NONE;
-  bool m_changed = false;  // Whether the command had an effect.
-  JobId m_job = 0;         // Job that the command refers to; 0: none.
-  std::string m_runner;    // Runner that it refers to; empty: none.
-  std::string m_machine;   // Machine that it refers to; empty: none.
+  bool m_changed = false;       // Whether the command had an effect.
+  JobId m_job = 0;              // Job that the command refers to; 0: none.
+  std::string m_runner;         // Runner that it refers to; empty: none.
+  std::uint64_t m_born_ms = 0;  // Start of that runner, if it was removed.
+  std::string m_machine;        // Machine that it refers to; empty: none.
   /** Runs that the command assigned. */
   std::vector<RunKey> m_assigned;
   /** Runs whose end the command recorded. */
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -47,6 +47,13 @@
   net::TargetPoolOptions m_connection_options;
 };
 
+/** Why a request got no response. */
+enum class RequestFailure {
+  kRefused,          // Nothing accepted the connection; it was not sent.
+  kConnectionEnded,  // The connection ended before the response.
+  kOther,            // Timed out, malformed, or not sent.
+};
+
 /** Runs on one executor that handles one event at a time. */
 class MemberNode : public std::enable_shared_from_this<MemberNode> {
  public:
@@ -98,10 +105,11 @@
   void SendReply(OutgoingReply& reply);
   void SendViewsIfChanged();
   void SendView(const net::FrameConnectionPtr& connection);
-  // `may_send` is asked again once there is a connection.
+  // `may_send` is asked again once there is a connection. `failure` is valid
+  // if there is no response.
   boost::asio::awaitable<std::optional<net::HttpResponse>> SendRequest(
       std::string address, net::HttpRequest request, Duration timeout,
-      std::function<bool()> may_send, bool* refused);
+      std::function<bool()> may_send, RequestFailure& failure);
   boost::asio::awaitable<std::optional<net::HttpResponse>> SendLeaderRequest(
       std::string address, net::HttpRequest request, Duration timeout);
   boost::asio::awaitable<runs::RunnerAnswer> CallRunner(
@@ -148,6 +156,7 @@
   // to the watchers.
   bool m_sent_leading = false;
   std::string m_sent_leader;
+  bool m_is_reading_inventory = false;
   bool m_stopping = false;
 };
 
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -72,7 +72,9 @@
   void OnCall(CallSource source, const wire::CallT& call, Moment moment);
   void OnRunnerAnswer(const runs::RunnerCall& call,
                       const runs::RunnerAnswer& answer, Moment moment);
-  void OnMachineInventory(std::vector<fleet::Machine> machines, Moment moment);
+  /** @param requested_at when the first page of the list was requested */
+  void OnMachineInventory(std::vector<fleet::Machine> machines,
+                          Instant requested_at, Moment moment);
   void OnMachineAnswer(const fleet::MachineRequest& request,
                        fleet::MachineResponse answer, Moment moment);
   /** @param tickets null when no usable answer came */
@@ -96,9 +98,7 @@
   std::vector<fleet::MachineRequest> TakeMachineRequests();
   std::vector<AdviceRequest> TakeAdviceRequests();
   /** @return whether the machine inventory should be read now. */
-  bool TakeInventoryRequest(Instant now) {
-    return m_machine_planner.TakeInventoryRequest(now);
-  }
+  bool TakeInventoryRequest(Instant now);
 
   /**
    * @return whether this member is the leader, owns the pools and had its
@@ -176,8 +176,13 @@
   void ApplyCommitted();
   void ApplyEntry(const wire::LogEntryT& entry);
   void LogGivenUp(const jobs::RunKey& run);
+  // Makes delayed heartbeats of the removed runner known as such.
+  void RecordRemoval(const std::string& runner, std::uint64_t born_ms);
   void CompactIfDue();
   void TakeDispatcherCommands();
+  // Passes on which silent runners have ended according to the inventory.
+  void CheckSilentRunners(const std::vector<fleet::Machine>& machines,
+                          Instant requested_at);
   void PlanAssignments();
   void OpenDueOccurrences();
   bool IsEndedJob(jobs::JobId id) const;
@@ -219,9 +224,11 @@
   // Jobs whose OpenOccurrences command is not yet applied.
   std::set<jobs::JobId> m_pending_openings;
   std::map<std::string, Heartbeat> m_heartbeats;  // By runner.
-  // By runner: its latest heartbeat before the owner found that nothing listens
-  // at its address or that another incarnation answers there.
+  // By removed runner: its latest heartbeat before the removal.
   std::map<std::string, Heartbeat> m_removed_runners;
+  // The next inventory is for the machine planner too. Others are read only to
+  // find runners that have ended.
+  bool m_planner_awaits_inventory = false;
   // Log entries proposed and not yet applied.
   std::uint64_t m_batches_in_flight = 0;
   bool m_plan_needed = false;
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -59,8 +60,11 @@
  * OnApplied.
  *
  * Invariant: a run is declared lost only when it can no longer be running. Its
- * runner is gone, its lease has expired, or it is missing from a run list made
- * after its last start or stop.
+ * start was never sent, its lease has expired, it is missing from a run list
+ * made after its last start or stop, or its runner has ended. A refused or
+ * broken connection does not show that: the runner may be cut off. Another
+ * incarnation at its address, a later runner of its machine and the platform's
+ * machine inventory do. See docs/decisions/0009-ends-of-runners.md.
  */
 class Dispatcher {
  public:
@@ -85,6 +89,19 @@
    * crashed and is removed.
    */
   void OnRestarted(const std::string& runner, Instant now);
+  /**
+   * @return whether the machine inventory should be read now, because it may
+   * show that silent runners have ended
+   */
+  bool TakeInventoryRequest(Instant now);
+  /**
+   * The platform lists the runner's machine as not in service, or with another
+   * runner. Has no effect unless the runner was silent when the list was
+   * requested.
+   * @param crashed false if the machine is being moved or maintained
+   */
+  void OnEndListed(const std::string& runner, Instant requested_at,
+                   bool crashed, Instant now);
   /**
    * @param check whether the runner's machine may be down because the owner
    * requested a move or an upkeep, so that its end is no crash
@@ -155,16 +172,21 @@
               RunnerLink& link, Instant now);
   void OnHold(const RunnerCall& call, const RunnerAnswer& answer,
               RunnerLink& link, Instant now);
+  // Records a call without an answer.
+  void OnSilence(const RunnerCall& call, const RunnerAnswer& answer,
+                 RunnerLink& link, Instant now);
+  // Whether the machine of a silent runner has started a later runner.
+  bool HasSuccessor(const std::string& runner, const RunnerLink& link) const;
   void ReconcileRunList(const RunnerCall& call, const RunnerAnswer& answer,
                         RunnerLink& link, Instant now);
   void Quarantine(const std::string& runner, RunnerLink& link,
                   const char* cause, Instant now);
   void StopStalled(const std::string& runner, RunnerLink& link, Instant now);
   void ProposeRemoval(const std::string& runner, RunnerLink& link,
-                      AnswerKind cause, Instant now);
+                      RemovalCause cause, Instant now);
   void ProposeLostRuns(const std::string& runner, RunnerLink& link,
                        const std::vector<jobs::RunKey>& runs,
-                       const char* cause);
+                       std::string_view cause);
   void StopRunsOfEndedJob(jobs::JobId id, Instant now);
   /** @return whether exactly this run was tracked. */
   static bool StopTracking(RunnerLink& link, const jobs::RunKey& run);
@@ -180,6 +202,10 @@
   std::vector<RunnerCall> m_calls;
   std::vector<wire::WorkBodyUnion> m_commands;
   std::vector<std::string> m_unused_addresses;
+  // When the inventory is read next if a runner is silent, and the pause after
+  // that.
+  Instant m_next_inventory;
+  Duration m_inventory_pause = Duration::zero();
 };
 
 }  // namespace bronzebarrow::runs
--- a/include/bronzebarrow/runs/runner_call.h
+++ b/include/bronzebarrow/runs/runner_call.h
@@ -51,7 +51,7 @@
   kUnhealthy,         // The runner is unhealthy and has not executed the call.
   kInvalid,           // The runner rejected the call as malformed.
   kOtherIncarnation,  // Another incarnation answers at the address.
-  kGone,              // Nothing listens at the address.
+  kRefused,           // The connection was refused; the call was not sent.
   kNoAnswer,          // Timed out; the call may still be executed later.
 };
 
@@ -75,6 +75,9 @@
 
 struct RunnerAnswer {
   AnswerKind m_kind = AnswerKind::kNoAnswer;
+  // With kNoAnswer: the call was sent, and its connection ended before a
+  // response came.
+  bool m_connection_ended = false;
   std::uint64_t m_born_ms = 0;   // Start of the incarnation; 0: not reported.
   std::uint64_t m_clock_ms = 0;  // The runner's clock; 0: not reported.
   std::vector<ReportedRun> m_running;
@@ -89,7 +92,7 @@
       "ok",        "fenced",   "old_run",
       "late",      "no_room",  "no_ticket",
       "unhealthy", "invalid",  "other_incarnation",
-      "gone",      "no_answer"};
+      "refused",   "no_answer"};
 };
 
 template <>
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -26,6 +26,16 @@
   kEndProposed,  // Its end or loss is proposed to the log.
 };
 
+/** What showed that a runner has ended, or that nothing runs there. */
+enum class RemovalCause {
+  kRestarted,    // A later incarnation under its id has reported.
+  kOtherAnswer,  // Another incarnation answers at its address.
+  kSuccessor,    // Its machine has started a later runner.
+  kListedDown,   // The platform lists its machine as down or with another one.
+  kListedBusy,   // The platform lists its machine as moving or in upkeep.
+  kRefused,      // It refuses connections and has no runs.
+};
+
 /** What the owner tracks about one assigned run. */
 struct TrackedRun {
   std::uint32_t m_run = 0;
@@ -70,12 +80,13 @@
   // Leases of earlier owners have expired by then.
   Instant m_inherited_leases_expire;
   bool m_hold_in_flight = false;
-  // Its removal is proposed: nothing listens at its address, or another
-  // incarnation does. It gets no further calls.
+  // Its removal is proposed. It gets no further calls.
   bool m_removal_proposed = false;
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
   Instant m_next_hold;
   Instant m_last_answer;
+  // When the first call since the last answer failed; unset if none has.
+  Instant m_silent_since;
   // When its process was last known to run: its last answer, or the time at
   // which a hold that it kept open broke.
   Instant m_alive_until;
@@ -91,6 +102,13 @@
 
 }  // namespace bronzebarrow::runs
 
+template <>
+struct bronzebarrow::EnumNames<bronzebarrow::runs::RemovalCause> {
+  static constexpr std::array<std::string_view, 6> kNames = {
+      "restarted",   "other_incarnation", "successor",
+      "listed_down", "listed_busy",       "refused"};
+};
+
 template <>
 struct bronzebarrow::EnumNames<bronzebarrow::runs::TrackedRunState> {
   static constexpr std::array<std::string_view, 5> kNames = {
--- a/src/jobs/work_runners.cc
+++ b/src/jobs/work_runners.cc
@@ -51,6 +51,7 @@
                              ApplyResult& applied) {
   const wire::RemoveRunnerT& remove = *body.AsRemoveRunner();
   applied.m_runner = remove.runner;
+  applied.m_born_ms = remove.born_ms;
   const auto runner = m_runners.find(remove.runner);
   if (runner == m_runners.end() ||
       runner->second.m_record.born_ms != remove.born_ms) {
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -277,7 +277,8 @@
     asio::co_spawn(m_executor, RequestAdvice(std::move(request)),
                    asio::detached);
   }
-  if (m_core->TakeInventoryRequest(Now())) {
+  if (!m_is_reading_inventory && m_core->TakeInventoryRequest(Now())) {
+    m_is_reading_inventory = true;
     asio::co_spawn(m_executor, ReadMachineInventory(), asio::detached);
   }
   SendViewsIfChanged();
@@ -382,16 +383,19 @@
 
 asio::awaitable<std::optional<net::HttpResponse>> MemberNode::SendRequest(
     std::string address, net::HttpRequest request, Duration timeout,
-    std::function<bool()> may_send, bool* refused) {
+    std::function<bool()> may_send, RequestFailure& failure) {
+  failure = RequestFailure::kOther;
   const auto parsed = Capture<Address>([&] { return Address::Parse(address); });
   if (std::holds_alternative<Failure>(parsed)) {
     co_return std::nullopt;
   }
   const Address& target = std::get<Address>(parsed);
   const Instant deadline = Now() + timeout;
+  bool refused = false;
   const net::TargetConnectionPtr connection =
-      co_await m_connection_pool.Acquire(target, deadline, refused);
+      co_await m_connection_pool.Acquire(target, deadline, &refused);
   if (!connection) {
+    failure = refused ? RequestFailure::kRefused : RequestFailure::kOther;
     co_return std::nullopt;
   }
   // Only the leader may call runners and the platform. If this process was
@@ -410,6 +414,9 @@
   net::ExchangeResult result = co_await m_connection_pool.Exchange(
       connection, target, std::move(request), deadline);
   if (result.m_verdict != net::ExchangeVerdict::kAnswered) {
+    if (result.m_verdict == net::ExchangeVerdict::kBroken) {
+      failure = RequestFailure::kConnectionEnded;
+    }
     co_return std::nullopt;
   }
   co_return std::move(result.m_response);
@@ -420,24 +427,26 @@
   const std::function<bool()> may_send = [this] {
     return m_core->CanServe(Now());
   };
-  bool refused = false;
+  RequestFailure failure = RequestFailure::kOther;
   co_return co_await SendRequest(std::move(address), std::move(request),
-                                 timeout, may_send, &refused);
+                                 timeout, may_send, failure);
 }
 
 asio::awaitable<runs::RunnerAnswer> MemberNode::CallRunner(
     const runs::RunnerCall& call, std::function<bool()> may_send) {
   const Instant begun = Now();
-  bool refused = false;
+  RequestFailure failure = RequestFailure::kOther;
   const std::optional<net::HttpResponse> response =
       co_await SendRequest(call.m_address, m_codec->Encode(call),
                            kRunnerResponseTimeout + Millis(call.m_wait_ms),
-                           std::move(may_send), &refused);
+                           std::move(may_send), failure);
   runs::RunnerAnswer answer;
   if (response) {
     answer = m_codec->Decode(call, *response);
-  } else if (refused) {
-    answer.m_kind = runs::AnswerKind::kGone;
+  } else if (failure == RequestFailure::kRefused) {
+    answer.m_kind = runs::AnswerKind::kRefused;
+  } else {
+    answer.m_connection_ended = failure == RequestFailure::kConnectionEnded;
   }
   const std::string label = "call=\"" + std::string(NameOf(call.m_kind)) + "\"";
   m_metrics.Observe("bronzebarrow_runner_call_seconds", label,
@@ -572,6 +581,7 @@
 
 asio::awaitable<void> MemberNode::ReadMachineInventory() {
   const auto self = shared_from_this();
+  const Instant requested_at = Now();
   std::vector<fleet::Machine> machines;
   std::string page;
   for (int i = 0; i < kMaxInventoryPages; ++i) {
@@ -585,6 +595,7 @@
       EventLine(Event::kCallUncertain, Severity::kWarning)
           .Field("call", "machine inventory")
           .Field("page", page);
+      m_is_reading_inventory = false;
       co_return;
     }
     if (next->empty()) {
@@ -593,7 +604,9 @@
     page = *next;
   }
   EventLine(Event::kSummary).Field("machines_listed", machines.size());
-  m_core->OnMachineInventory(std::move(machines), CurrentMoment());
+  m_is_reading_inventory = false;
+  m_core->OnMachineInventory(std::move(machines), requested_at,
+                             CurrentMoment());
   PerformActions();
 }
 
--- a/src/node/relay_table.cc
+++ b/src/node/relay_table.cc
@@ -147,6 +147,7 @@
   relayed.kind = static_cast<std::uint8_t>(answer.m_kind);
   relayed.born_ms = answer.m_born_ms;
   relayed.clock_ms = answer.m_clock_ms;
+  relayed.connection_ended = answer.m_connection_ended;
   for (const runs::ReportedRun& row : answer.m_running) {
     auto& run =
         relayed.running.emplace_back(std::make_unique<wire::RelayedRunT>());
@@ -173,6 +174,7 @@
       relayed.kind, static_cast<std::uint8_t>(runs::AnswerKind::kNoAnswer)));
   answer.m_born_ms = relayed.born_ms;
   answer.m_clock_ms = relayed.clock_ms;
+  answer.m_connection_ended = relayed.connection_ended;
   for (const auto& row : relayed.running) {
     answer.m_running.push_back(
         {RunFromWire(row->run), row->checkpoint, row->percent, row->load});
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -8,9 +8,9 @@
 namespace bronzebarrow::node {
 namespace {
 
-// A runner that refuses connections is removed. This many heartbeats after its
-// last one are ignored, because delayed ones must not register it again at
-// once; a runner that sends more is running and is registered again.
+// This many heartbeats of a removed runner after its last one are ignored,
+// because delayed ones must not register it again at once; a runner that sends
+// more is running and is registered again.
 constexpr std::uint64_t kIgnoredHeartbeatsAfterRemoval = 2;
 // One in this many repeated heartbeats still reaches the leader, which compares
 // the sequence numbers of delayed ones with it.
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -118,21 +118,50 @@
                               const runs::RunnerAnswer& answer, Moment moment) {
   m_moment = moment;
   m_dispatcher.OnAnswer(call, answer, moment.m_now);
-  if (answer.m_kind == runs::AnswerKind::kGone ||
-      answer.m_kind == runs::AnswerKind::kOtherIncarnation) {
-    const auto last_heartbeat = m_heartbeats.find(call.m_runner);
-    if (last_heartbeat != m_heartbeats.end()) {
-      m_removed_runners[call.m_runner] = last_heartbeat->second;
-      m_heartbeats.erase(last_heartbeat);
-    }
-  }
   ProcessUpdates();
 }
 
+bool WorkCore::TakeInventoryRequest(Instant now) {
+  const bool for_planner = m_machine_planner.TakeInventoryRequest(now);
+  m_planner_awaits_inventory = m_planner_awaits_inventory || for_planner;
+  const bool for_dispatcher = m_dispatcher.TakeInventoryRequest(now);
+  return for_planner || for_dispatcher;
+}
+
 void WorkCore::OnMachineInventory(std::vector<fleet::Machine> machines,
-                                  Moment moment) {
+                                  Instant requested_at, Moment moment) {
   m_moment = moment;
-  m_machine_planner.OnMachineInventory(std::move(machines), moment.m_now);
+  CheckSilentRunners(machines, requested_at);
+  if (std::exchange(m_planner_awaits_inventory, false)) {
+    m_machine_planner.OnMachineInventory(std::move(machines), moment.m_now);
+  }
+  ProcessUpdates();
+}
+
+// A runner that was silent when the list was requested had started before. Its
+// machine has had only one life since, unless the list shows another one.
+void WorkCore::CheckSilentRunners(const std::vector<fleet::Machine>& machines,
+                                  Instant requested_at) {
+  std::map<std::string, const fleet::Machine*> listed;
+  for (const fleet::Machine& machine : machines) {
+    listed[machine.m_name] = &machine;
+  }
+  for (const auto& [id, runner] : m_state.runners()) {
+    const auto found = listed.find(runner.m_record.machine);
+    if (found == listed.end()) {
+      continue;
+    }
+    const fleet::Machine& machine = *found->second;
+    const bool is_busy = machine.m_state == fleet::MachineState::kMoving ||
+                         machine.m_state == fleet::MachineState::kUpkeep;
+    const bool has_other_runner = machine.m_state == fleet::MachineState::kUp &&
+                                  !machine.m_runner.empty() &&
+                                  machine.m_runner != id;
+    if (is_busy || has_other_runner ||
+        machine.m_state == fleet::MachineState::kDown) {
+      m_dispatcher.OnEndListed(id, requested_at, !is_busy, m_moment.m_now);
+    }
+  }
 }
 
 void WorkCore::OnMachineAnswer(const fleet::MachineRequest& request,
@@ -306,6 +335,7 @@
   m_pending_openings.clear();
   m_heartbeats.clear();
   m_removed_runners.clear();
+  m_planner_awaits_inventory = false;
   m_admission.Clear();
   m_ownership_token.reset();
   m_batches_in_flight = 0;
@@ -365,6 +395,9 @@
     }
     m_dispatcher.OnApplied(applied, m_moment.m_now);
     m_plan_needed = true;
+    if (applied.m_kind == wire::WorkBody::RemoveRunner && applied.m_changed) {
+      RecordRemoval(applied.m_runner, applied.m_born_ms);
+    }
     if (applied.m_kind == wire::WorkBody::AcceptJob) {
       m_pending_submits.erase(applied.m_job);
     } else if (applied.m_kind == wire::WorkBody::OpenOccurrences) {
@@ -391,6 +424,15 @@
   }
 }
 
+void WorkCore::RecordRemoval(const std::string& runner, std::uint64_t born_ms) {
+  const auto last_heartbeat = m_heartbeats.find(runner);
+  if (last_heartbeat != m_heartbeats.end() &&
+      last_heartbeat->second.m_born_ms == born_ms) {
+    m_removed_runners[runner] = last_heartbeat->second;
+    m_heartbeats.erase(last_heartbeat);
+  }
+}
+
 void WorkCore::LogGivenUp(const jobs::RunKey& run) {
   ++m_tasks_given_up;
   const jobs::Job& job = *m_state.FindJob(run.m_task.m_job);
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include "bronzebarrow/base/event_log.h"
@@ -22,6 +23,11 @@
 // runs.
 constexpr std::uint32_t kUnresponsiveTimeouts = 1;
 
+// The inventory is read this long after a runner has fallen silent, and again
+// after pauses that double up to the limit.
+constexpr Duration kMinInventoryPause = Millis(100);
+constexpr Duration kMaxInventoryPause = Millis(1600);
+
 // A runner lists at most this many ends at a time (platform documentation).
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -56,6 +62,7 @@
   m_tickets.clear();
   m_calls.clear();
   m_commands.clear();
+  m_next_inventory = now;
   for (const auto& [id, runner] : m_state.runners()) {
     RefreshLink(id, now);
   }
@@ -325,7 +332,11 @@
         tracked.m_ticket = std::move(ticket->second);
         m_tickets.erase(ticket);
       }
-      SendStart(applied.m_runner, link, run.m_task, tracked, now);
+      // A start sent now could still reach a runner whose runs are about to be
+      // declared lost.
+      if (!link.m_removal_proposed) {
+        SendStart(applied.m_runner, link, run.m_task, tracked, now);
+      }
     }
   }
   for (const jobs::RunKey& run : applied.m_ended) {
@@ -356,8 +367,52 @@
   }
 }
 
+bool Dispatcher::TakeInventoryRequest(Instant now) {
+  if (!leading() || now < m_next_inventory) {
+    return false;
+  }
+  const bool needed =
+      std::any_of(m_links.begin(), m_links.end(), [](const auto& item) {
+        const RunnerLink& link = item.second;
+        return link.m_silent_since != Instant() && !link.m_removal_proposed &&
+               !link.m_leases_expired && !link.m_tracked_runs.empty();
+      });
+  if (needed) {
+    m_next_inventory = now + m_inventory_pause;
+    m_inventory_pause = std::min(m_inventory_pause * 2, kMaxInventoryPause);
+  }
+  return needed;
+}
+
+void Dispatcher::OnEndListed(const std::string& runner, Instant requested_at,
+                             bool crashed, Instant now) {
+  const auto link = m_links.find(runner);
+  if (leading() && link != m_links.end() &&
+      link->second.m_silent_since != Instant() &&
+      link->second.m_silent_since <= requested_at) {
+    ProposeRemoval(
+        runner, link->second,
+        crashed ? RemovalCause::kListedDown : RemovalCause::kListedBusy, now);
+  }
+}
+
+bool Dispatcher::HasSuccessor(const std::string& runner,
+                              const RunnerLink& link) const {
+  const jobs::Runner* const known = m_state.FindRunner(runner);
+  const jobs::Runner* const latest =
+      known == nullptr || known->m_record.machine.empty()
+          ? nullptr
+          : m_state.FindLatestRunnerOfMachine(known->m_record.machine);
+  return latest != nullptr && latest->m_record.id != runner &&
+         latest->m_record.born_ms > link.m_born_ms;
+}
+
 void Dispatcher::TickLink(const std::string& runner, RunnerLink& link,
                           Instant now) {
+  if (link.m_silent_since != Instant() && HasSuccessor(runner, link)) {
+    ProposeRemoval(runner, link, RemovalCause::kSuccessor, now);
+    return;
+  }
   if (!link.m_hold_in_flight && !link.m_ends_proposed &&
       now >= link.m_next_hold) {
     SendHold(runner, link, now);
@@ -395,7 +450,7 @@
 
 void Dispatcher::ProposeLostRuns(const std::string& runner, RunnerLink& link,
                                  const std::vector<jobs::RunKey>& runs,
-                                 const char* cause) {
+                                 std::string_view cause) {
   wire::EndRunsT ends;
   ends.runner = runner;
   ends.born_ms = link.m_born_ms;
@@ -427,17 +482,8 @@
     return;
   }
   RunnerLink& link = found->second;
-  // A hold that is kept open breaks as soon as the runner's process ends. A
-  // refused one only shows that the process has ended before.
-  if (answer.m_kind == AnswerKind::kNoAnswer &&
-      call.m_kind == CallKind::kHold && link.m_consecutive_timeouts == 0 &&
-      now < call.m_sent + Millis(call.m_wait_ms)) {
-    link.m_alive_until = now;
-  }
-  const bool other_incarnation =
-      answer.m_kind == AnswerKind::kOtherIncarnation ||
-      (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms);
-  if (other_incarnation || answer.m_kind == AnswerKind::kGone) {
+  if (answer.m_kind == AnswerKind::kOtherIncarnation ||
+      (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms)) {
     const auto tracked = link.m_tracked_runs.find(call.m_run.m_task);
     if (call.m_kind == CallKind::kStart &&
         tracked != link.m_tracked_runs.end() &&
@@ -445,21 +491,15 @@
         tracked->second.m_attempts == 1) {
       tracked->second.m_state = TrackedRunState::kRejected;
     }
-    ProposeRemoval(
-        call.m_runner, link,
-        other_incarnation ? AnswerKind::kOtherIncarnation : answer.m_kind, now);
+    ProposeRemoval(call.m_runner, link, RemovalCause::kOtherAnswer, now);
     return;
   }
-  if (answer.m_kind == AnswerKind::kNoAnswer) {
-    ++link.m_consecutive_timeouts;
-    if (link.m_consecutive_timeouts == 1) {
-      EventLine(Event::kRunnerSilent, Severity::kWarning)
-          .Field("runner", call.m_runner)
-          .Field("call", NameOf(call.m_kind))
-          .Field("age_ms", ToMillis(now - link.m_last_answer));
-    }
+  if (answer.m_kind == AnswerKind::kNoAnswer ||
+      answer.m_kind == AnswerKind::kRefused) {
+    OnSilence(call, answer, link, now);
   } else {
     link.m_consecutive_timeouts = 0;
+    link.m_silent_since = Instant();
     link.m_last_answer = now;
     link.m_alive_until = now;
     if (answer.m_clock_ms != 0) {
@@ -482,6 +522,32 @@
   }
 }
 
+void Dispatcher::OnSilence(const RunnerCall& call, const RunnerAnswer& answer,
+                           RunnerLink& link, Instant now) {
+  // A hold that is kept open breaks as soon as the runner's process ends.
+  if (answer.m_kind == AnswerKind::kNoAnswer &&
+      call.m_kind == CallKind::kHold && link.m_consecutive_timeouts == 0 &&
+      now < call.m_sent + Millis(call.m_wait_ms)) {
+    link.m_alive_until = now;
+  }
+  ++link.m_consecutive_timeouts;
+  if (link.m_silent_since == Instant()) {
+    link.m_silent_since = now;
+    m_next_inventory = std::min(m_next_inventory, now + kMinInventoryPause);
+    m_inventory_pause = kMinInventoryPause;
+    EventLine(Event::kRunnerSilent, Severity::kWarning)
+        .Field("runner", call.m_runner)
+        .Field("call", NameOf(call.m_kind))
+        .Field("answer", NameOf(answer.m_kind))
+        .Field("connection_ended", answer.m_connection_ended)
+        .Field("runs", link.m_tracked_runs.size())
+        .Field("age_ms", ToMillis(now - link.m_last_answer));
+  }
+  if (answer.m_kind == AnswerKind::kRefused && link.m_tracked_runs.empty()) {
+    ProposeRemoval(call.m_runner, link, RemovalCause::kRefused, now);
+  }
+}
+
 void Dispatcher::OnStart(const RunnerCall& call, const RunnerAnswer& answer,
                          RunnerLink& link, Instant now) {
   const auto found = link.m_tracked_runs.find(call.m_run.m_task);
@@ -505,8 +571,14 @@
       .Field("run", call.m_run.m_run)
       .Field("runner", call.m_runner)
       .Field("answer", NameOf(answer.m_kind))
+      .Field("connection_ended", answer.m_connection_ended)
       .Field("attempt", tracked.m_attempts);
   switch (answer.m_kind) {
+    case AnswerKind::kRefused:
+      if (tracked.m_attempts == 1 && !tracked.m_stop_requested) {
+        break;  // It was not sent.
+      }
+      [[fallthrough]];
     case AnswerKind::kNoAnswer:
       tracked.m_next_attempt = now + m_options.m_retry_delay;
       if (tracked.m_attempts >= kMaxStartAttempts) {
@@ -528,7 +600,7 @@
       break;
   }
   if (tracked.m_attempts == 1 && !tracked.m_stop_requested) {
-    ProposeLostRuns(call.m_runner, link, {call.m_run}, "rejected");
+    ProposeLostRuns(call.m_runner, link, {call.m_run}, NameOf(answer.m_kind));
   } else if (!tracked.m_stop_requested) {
     // An earlier start that timed out may still be executed.
     tracked.m_stop_requested = true;
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -86,7 +86,7 @@
 }
 
 void Dispatcher::ProposeRemoval(const std::string& runner, RunnerLink& link,
-                                AnswerKind cause, Instant now) {
+                                RemovalCause cause, Instant now) {
   if (link.m_removal_proposed) {
     return;
   }
@@ -113,6 +113,7 @@
   remove.born_ms = link.m_born_ms;
   const bool has_crashed =
       known != nullptr && !known->m_record.draining &&
+      cause != RemovalCause::kListedBusy &&
       !(m_is_down_as_requested && m_is_down_as_requested(*known));
   if (has_crashed) {
     const std::string& pool = known->m_record.pool;
@@ -157,7 +158,7 @@
 void Dispatcher::OnRestarted(const std::string& runner, Instant now) {
   const auto link = m_links.find(runner);
   if (leading() && link != m_links.end()) {
-    ProposeRemoval(runner, link->second, AnswerKind::kOtherIncarnation, now);
+    ProposeRemoval(runner, link->second, RemovalCause::kRestarted, now);
   }
 }
 
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -1,4 +1,5 @@
-// Tests the dispatcher's reaction to runners that fail or stall all their runs.
+// Tests the dispatcher's reaction to runners that fail or stall all their runs,
+// that fall silent, and that crash.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
@@ -23,6 +24,10 @@
   CPPUNIT_TEST(LongTasksHaveALongerStallTimeout);
   CPPUNIT_TEST(RunBeyondAFullListOfEndsIsNotLost);
   CPPUNIT_TEST(RunnerThatIsGoneGetsNoFurtherRuns);
+  CPPUNIT_TEST(RefusedConnectionsDoNotEndRunsBeforeTheLease);
+  CPPUNIT_TEST(ListedEndEndsTheRunsOfASilentRunner);
+  CPPUNIT_TEST(LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner);
+  CPPUNIT_TEST(RunAssignedBeforeARemovalIsNotStarted);
   CPPUNIT_TEST(CrashIsBlamedOnTheRunThatHasJustStarted);
   CPPUNIT_TEST(CrashUnderTwoNewRunsIsNotConclusive);
   CPPUNIT_TEST(GangThatHasJustStartedIsToBlameAsOne);
@@ -55,6 +60,7 @@
       runner.runner = std::make_unique<wire::RunnerRecordT>();
       runner.runner->id = RunnerId(i);
       runner.runner->born_ms = kBornMs;
+      runner.runner->machine = "m" + std::to_string(i);
       runner.runner->pool = "pool";
       runner.runner->cpu_milli = 32'000;
       Apply(std::move(runner));
@@ -182,7 +188,7 @@
     m_now += Millis(2000);
     m_dispatcher->Tick(m_now);
     RunnerAnswer gone;
-    gone.m_kind = AnswerKind::kGone;
+    gone.m_kind = AnswerKind::kRefused;
     std::size_t calls = 0;
     for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
       if (call.m_runner == RunnerId(0)) {
@@ -193,6 +199,8 @@
     }
     CPPUNIT_ASSERT(calls > 0);
     CPPUNIT_ASSERT(!m_dispatcher->IsUsable(RunnerId(0), m_now));
+    m_dispatcher->OnEndListed(RunnerId(0), m_now, true, m_now);
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(RunnerId(0), m_now));
     m_now += Millis(200);
     m_dispatcher->Tick(m_now);
     for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
@@ -201,6 +209,96 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->TakeCommands().size());
   }
 
+  // Guards against a second run of a task whose runner is cut off: it refuses
+  // connections, works on and stays up.
+  void RefusedConnectionsDoNotEndRunsBeforeTheLease() {
+    Assign(1, 1, RunnerId(0));
+    const Instant last_renewal = m_now;
+    std::size_t lost = 0;
+    std::size_t removed = 0;
+    Instant lost_at;
+    while (m_now < last_renewal + Millis(8000)) {
+      m_now += Millis(20);
+      m_dispatcher->Tick(m_now);
+      AnswerFirstRunner(AnswerKind::kRefused);
+      for (wire::WorkBodyUnion& body : m_dispatcher->TakeCommands()) {
+        if (const auto* const ends = body.AsEndRuns()) {
+          lost += ends->ends.size();
+          lost_at = m_now;
+        } else if (const auto* const remove = body.AsRemoveRunner()) {
+          ++removed;
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost);
+          CPPUNIT_ASSERT(remove->new_runs.empty());
+          CPPUNIT_ASSERT(remove->older_runs.empty());
+        }
+        ApplyBody(std::move(body));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed);
+    const DispatcherOptions options;
+    CPPUNIT_ASSERT(lost_at >= last_renewal + options.m_lease);
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+  }
+
+  // Guards against waiting for the lease of a runner that has crashed, and
+  // against an end that was listed before the runner fell silent.
+  void ListedEndEndsTheRunsOfASilentRunner() {
+    for (const bool crashed : {true, false}) {
+      setUp();
+      Assign(1, 1, RunnerId(0));
+      m_dispatcher->OnEndListed(RunnerId(0), m_now, crashed, m_now);
+      CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+      const Instant before = m_now;
+      m_now += Millis(10);
+      m_dispatcher->Tick(m_now);
+      CPPUNIT_ASSERT(!m_dispatcher->TakeInventoryRequest(m_now));
+      AnswerFirstRunner(AnswerKind::kRefused);
+      m_now += Millis(200);
+      CPPUNIT_ASSERT(m_dispatcher->TakeInventoryRequest(m_now));
+      m_dispatcher->OnEndListed(RunnerId(0), before, crashed, m_now);
+      CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+      m_dispatcher->OnEndListed(RunnerId(0), m_now, crashed, m_now);
+      const wire::RemoveRunnerT remove = TakeRemoval();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{crashed ? 1U : 0U},
+                           remove.new_runs.size());
+    }
+  }
+
+  // A runner is one life of its machine.
+  void LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner() {
+    Assign(1, 1, RunnerId(0));
+    wire::RegisterRunnerT next;
+    next.runner = std::make_unique<wire::RunnerRecordT>(
+        m_state->FindRunner(RunnerId(0))->m_record);
+    next.runner->id = "next";
+    next.runner->born_ms = kBornMs + 1;
+    Apply(std::move(next));
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kRefused);
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeRemoval().new_runs.size());
+  }
+
+  // Guards against a start that reaches a runner after its removal was
+  // proposed: the removal ends the run as lost.
+  void RunAssignedBeforeARemovalIsNotStarted() {
+    AcceptJob(1, 1);
+    m_now += Millis(5000);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kRefused);
+    AssignRuns(1, 1, RunnerId(0));
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      CPPUNIT_ASSERT(call.m_kind != CallKind::kStart);
+    }
+    Apply(TakeRemoval());
+    CPPUNIT_ASSERT(m_state->FindJob(1)->FindTask({1, 0, 0, 0})->m_state ==
+                   jobs::TaskState::kWaiting);
+  }
+
   void CrashIsBlamedOnTheRunThatHasJustStarted() {
     AssignAndAge(1, 2, Millis(300));
     Assign(2, 1, RunnerId(0));
@@ -301,11 +399,18 @@
     for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
       if (call.m_kind == CallKind::kStart) {
         RunnerAnswer gone;
-        gone.m_kind = AnswerKind::kGone;
+        gone.m_kind = AnswerKind::kRefused;
         m_dispatcher->OnAnswer(call, gone, m_now);
       }
     }
-    const wire::RemoveRunnerT remove = TakeRemoval();
+    for (wire::WorkBodyUnion& body : m_dispatcher->TakeCommands()) {
+      CPPUNIT_ASSERT(body.type == wire::WorkBody::EndRuns);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, body.AsEndRuns()->ends.size());
+      ApplyBody(std::move(body));
+    }
+    CPPUNIT_ASSERT(m_state->FindJob(2)->FindTask({2, 0, 0, 0})->m_state ==
+                   jobs::TaskState::kWaiting);
+    const wire::RemoveRunnerT remove = CrashFirstRunner();
     CPPUNIT_ASSERT(remove.new_runs.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, remove.older_runs.size());
   }
@@ -413,17 +518,25 @@
     Advance(Millis(1));
   }
 
-  // @return the removal that a refused connection to the first runner causes
-  wire::RemoveRunnerT CrashFirstRunner() {
-    m_now += Millis(10);
-    m_dispatcher->Tick(m_now);
-    RunnerAnswer gone;
-    gone.m_kind = AnswerKind::kGone;
+  // Passes an answer of this kind to the open calls to the first runner.
+  void AnswerFirstRunner(AnswerKind kind, bool connection_ended = false) {
+    RunnerAnswer answer;
+    answer.m_kind = kind;
+    answer.m_connection_ended = connection_ended;
     for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
       if (call.m_runner == RunnerId(0)) {
-        m_dispatcher->OnAnswer(call, gone, m_now);
+        m_dispatcher->OnAnswer(call, answer, m_now);
       }
     }
+  }
+
+  // @return the removal that results when the first runner refuses connections
+  // and the platform lists its machine as down
+  wire::RemoveRunnerT CrashFirstRunner() {
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kRefused);
+    m_dispatcher->OnEndListed(RunnerId(0), m_now, true, m_now);
     return TakeRemoval();
   }
 
--- a/tests/load_model.cc
+++ b/tests/load_model.cc
@@ -182,6 +182,7 @@
     }
     const std::string id =
         "i-" + std::to_string(i) + "-" + std::to_string(++machine.m_lives);
+    machine.m_is_down = false;
     machine.m_runner.emplace(id, VirtualMoment().m_wall_ms, 1.0, m_now);
     m_machine_of_runner[id] = i;
     machine.m_cpu_milli = kMachineMilli;
@@ -349,14 +350,8 @@
     Schedule(kNetworkDelay, [this, request] { HandleMachineRequest(request); });
   }
   if (m_core->TakeInventoryRequest(m_now)) {
-    std::vector<fleet::Machine> inventory;
-    for (std::size_t i = 0; i < m_machines.size(); ++i) {
-      fleet::Machine& machine = inventory.emplace_back();
-      machine.m_name = std::to_string(i);
-      machine.m_pool = m_machines[i].m_pool;
-      machine.m_state = fleet::MachineState::kUp;
-    }
-    m_core->OnMachineInventory(std::move(inventory), VirtualMoment());
+    Schedule(kNetworkDelay,
+             [this, requested_at = m_now] { AnswerInventory(requested_at); });
   }
 }
 
@@ -365,7 +360,8 @@
   runs::RunnerAnswer answer;
   // A connection that is open breaks; another one is refused.
   answer.m_kind =
-      may_wait ? runs::AnswerKind::kGone : runs::AnswerKind::kNoAnswer;
+      may_wait ? runs::AnswerKind::kRefused : runs::AnswerKind::kNoAnswer;
+  answer.m_connection_ended = !may_wait;
   if (found != m_machine_of_runner.end()) {
     FakeRunner& runner = *m_machines[found->second].m_runner;
     Duration span = Duration::zero();
@@ -399,6 +395,20 @@
   PerformActions();
 }
 
+void LoadModel::AnswerInventory(Instant requested_at) {
+  std::vector<fleet::Machine> inventory;
+  for (std::size_t i = 0; i < m_machines.size(); ++i) {
+    fleet::Machine& machine = inventory.emplace_back();
+    machine.m_name = std::to_string(i);
+    machine.m_pool = m_machines[i].m_pool;
+    machine.m_state = m_machines[i].m_is_down ? fleet::MachineState::kDown
+                                              : fleet::MachineState::kUp;
+  }
+  m_core->OnMachineInventory(std::move(inventory), requested_at,
+                             VirtualMoment());
+  PerformActions();
+}
+
 void LoadModel::CompleteHolds() {
   for (Machine& machine : m_machines) {
     if (machine.m_runner) {
@@ -428,6 +438,7 @@
   }
   Machine& machine = m_machines[found->second];
   machine.m_runner.reset();
+  machine.m_is_down = true;
   machine.m_ready_at = m_now + kRestartTime;
   m_machine_of_runner.erase(found);
   ++m_result.m_crashing.m_crashes;
@@ -450,6 +461,7 @@
       m_machine_of_runner.erase(machine.m_runner->id());
       machine.m_runner.reset();
     }
+    machine.m_is_down = false;
     machine.m_pool = request.m_pool;
     machine.m_ready_at = m_now + kMoveTime;
     ++m_result.m_moves;
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -113,6 +113,7 @@
     std::optional<FakeRunner> m_runner;
     Instant m_ready_at;  // Its runner registers then.
     std::uint32_t m_lives = 0;
+    bool m_is_down = false;  // Its runner crashed and is not back.
     std::uint32_t m_cpu_milli = kMachineMilli;
     std::uint32_t m_previous_cpu_milli = kMachineMilli;
     Instant m_resized_at{};
@@ -148,6 +149,7 @@
   /** Counts the start of `run` on the machine if it overfills its runner. */
   void CheckRoom(const Machine& machine, const jobs::RunKey& run);
   std::uint32_t CpuMilliOf(const jobs::TaskKey& task) const;
+  void AnswerInventory(Instant requested_at);
   void HandleMachineRequest(const fleet::MachineRequest& request);
   LoadResult Summarise();
   void Call(wire::CallBodyUnion body, std::uint64_t id);
