Count a crash only against runs that were there

Cause: AssessCrash took each start that was not refused for a run that was there.

Change: a run was there if its start was confirmed, a list had it, the connection of a start ended before the response, or an earlier owner assigned it.

Evidence: StartWithoutAnAnswerIsNoEvidenceOfACrash fails on the commit before (new_runs is not empty) and holds now; InterruptedStartIsEvidenceOfACrash keeps the crash before the response counted; crash_replay_test holds.

--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -41,7 +41,9 @@
   std::uint32_t m_run = 0;
   TrackedRunState m_state = TrackedRunState::kInherited;
   std::uint32_t m_attempts = 0;  // Start calls sent.
-  Instant m_assigned_at;         // Unset if an earlier owner assigned it.
+  // The connection of a start call ended before the response.
+  bool m_start_interrupted = false;
+  Instant m_assigned_at;  // Unset if an earlier owner assigned it.
   // When a response first showed that it runs; unset before that.
   Instant m_started_at;
   Instant m_confirmed_at;         // When a response last confirmed the state.
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -573,6 +573,8 @@
       .Field("answer", NameOf(answer.m_kind))
       .Field("connection_ended", answer.m_connection_ended)
       .Field("attempt", tracked.m_attempts);
+  tracked.m_start_interrupted =
+      tracked.m_start_interrupted || answer.m_connection_ended;
   switch (answer.m_kind) {
     case AnswerKind::kRefused:
       if (tracked.m_attempts == 1 && !tracked.m_stop_requested) {
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -23,6 +23,15 @@
          run.m_state != TrackedRunState::kEndProposed;
 }
 
+// Whether the run was there when its runner crashed. A start that timed out
+// does not show it: the runner may have been down before. An earlier owner may
+// have seen the start of an inherited run.
+bool WasThere(const TrackedRun& run) {
+  return MayBeRunning(run) &&
+         (run.m_state == TrackedRunState::kInherited ||
+          run.m_started_at != Instant() || run.m_start_interrupted);
+}
+
 // Whether the run may be running and has not been for `span`.
 bool IsYoungerThan(Duration span, const TrackedRun& run, Instant now) {
   return MayBeRunning(run) &&
@@ -138,8 +147,7 @@
                                             bool has_other_causes) const {
   std::vector<jobs::RunAtCrash> runs;
   for (const auto& [task, tracked] : link.m_tracked_runs) {
-    // A start that was rejected or refused did not run.
-    if (!MayBeRunning(tracked)) {
+    if (!WasThere(tracked)) {
       continue;
     }
     jobs::RunAtCrash& run = runs.emplace_back();
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(ListedEndEndsTheRunsOfASilentRunner);
   CPPUNIT_TEST(LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner);
   CPPUNIT_TEST(RunAssignedBeforeARemovalIsNotStarted);
+  CPPUNIT_TEST(StartWithoutAnAnswerIsNoEvidenceOfACrash);
+  CPPUNIT_TEST(InterruptedStartIsEvidenceOfACrash);
   CPPUNIT_TEST(CrashIsBlamedOnTheRunThatHasJustStarted);
   CPPUNIT_TEST(CrashUnderTwoNewRunsIsNotConclusive);
   CPPUNIT_TEST(GangThatHasJustStartedIsToBlameAsOne);
@@ -299,6 +301,37 @@
                    jobs::TaskState::kWaiting);
   }
 
+  // Guards against a job that is given up for crashes of runners that were
+  // down, and silent, before its start was sent to them.
+  void StartWithoutAnAnswerIsNoEvidenceOfACrash() {
+    for (std::uint32_t run = 1; run <= 5; ++run) {
+      if (run == 1) {
+        AcceptJob(1, 1);
+      }
+      AssignRuns(1, run, RunnerId(0));
+      for (int i = 0; i < 40; ++i) {
+        m_now += Millis(50);
+        m_dispatcher->Tick(m_now);
+        AnswerFirstRunner(AnswerKind::kNoAnswer);
+      }
+      m_dispatcher->OnEndListed(RunnerId(0), m_now, true, m_now);
+      const wire::RemoveRunnerT remove = TakeRemoval();
+      CPPUNIT_ASSERT(remove.new_runs.empty() && remove.older_runs.empty());
+      Apply(remove);
+      CPPUNIT_ASSERT(m_state->FindJob(1)->m_state == jobs::JobState::kActive);
+      RegisterFirstRunnerAgain();
+    }
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+  }
+
+  // A task may crash its runner before the response to its start is sent.
+  void InterruptedStartIsEvidenceOfACrash() {
+    AcceptJob(1, 1);
+    AssignRuns(1, 1, RunnerId(0));
+    AnswerFirstRunner(AnswerKind::kNoAnswer, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, CrashFirstRunner().new_runs.size());
+  }
+
   void CrashIsBlamedOnTheRunThatHasJustStarted() {
     AssignAndAge(1, 2, Millis(300));
     Assign(2, 1, RunnerId(0));
