Stop the runs of a runner that leaves before it is removed

Cause: the report was taken for the end. Ruled out: a change of the owner, a stop before the report.

Change: the report stops the runs, with their checkpoints, and ends the renewal of the lease. The runner is removed, and answered, when no run is left; it is answered after 0.7 s at the latest.

--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -133,6 +133,12 @@
     std::uint64_t m_call_id = 0;
     wire::WorkBody m_kind = wire::WorkBody::NONE;
   };
+  /** A report that a runner leaves, which is not answered yet. */
+  struct PendingLeave {
+    CallSource m_source = 0;
+    std::uint64_t m_call_id = 0;
+    Instant m_answer_at;  // At the latest.
+  };
   /** The latest heartbeat of a runner: its incarnation and sequence number. */
   struct Heartbeat {
     std::uint64_t m_born_ms = 0;
@@ -154,6 +160,9 @@
                   const wire::CallBodyUnion& body);
   void ReportRunner(CallSource source, std::uint64_t call_id,
                     const wire::CallBodyUnion& body);
+  // Answers the reports that the runner leaves.
+  void AnswerLeaves(const std::string& runner);
+  void AnswerOverdueLeaves();
   void StartUpkeep(CallSource source, std::uint64_t call_id,
                    const wire::CallBodyUnion& body);
   void ReadUpkeep(CallSource source, std::uint64_t call_id,
@@ -224,6 +233,8 @@
   // Jobs whose OpenOccurrences command is not yet applied.
   std::set<jobs::JobId> m_pending_openings;
   std::map<std::string, Heartbeat> m_heartbeats;  // By runner.
+  // By runner; no entry is empty.
+  std::map<std::string, std::vector<PendingLeave>> m_pending_leaves;
   // By removed runner: its latest heartbeat before the removal.
   std::map<std::string, Heartbeat> m_removed_runners;
   // The next inventory is for the machine planner too. Others are read only to
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -89,6 +89,13 @@
    * crashed and is removed.
    */
   void OnRestarted(const std::string& runner, Instant now);
+  /**
+   * The runner is about to end. That it says so does not show that it has: its
+   * runs are stopped, and it is removed once none is left. Has no effect if it
+   * is not registered or if `born_ms` is that of another incarnation; 0 if the
+   * runner did not name its own.
+   */
+  void OnLeaving(const std::string& runner, std::uint64_t born_ms, Instant now);
   /**
    * @return whether the machine inventory should be read now, because it may
    * show that silent runners have ended
@@ -175,6 +182,9 @@
   // Records a call without an answer.
   void OnSilence(const RunnerCall& call, const RunnerAnswer& answer,
                  RunnerLink& link, Instant now);
+  // Stops the runs of a runner that leaves, and removes it when it has none.
+  void EmptyLeavingRunner(const std::string& runner, RunnerLink& link,
+                          Instant now);
   // Whether the machine of a silent runner has started a later runner.
   bool HasSuccessor(const std::string& runner, const RunnerLink& link) const;
   void ReconcileRunList(const RunnerCall& call, const RunnerAnswer& answer,
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -34,6 +34,7 @@
   kListedDown,   // The platform lists its machine as down or with another one.
   kListedBusy,   // The platform lists its machine as moving or in upkeep.
   kRefused,      // It refuses connections and has no runs.
+  kLeft,         // It has said that it leaves and has no runs.
 };
 
 /** What the owner tracks about one assigned run. */
@@ -82,6 +83,9 @@
   // Leases of earlier owners have expired by then.
   Instant m_inherited_leases_expire;
   bool m_hold_in_flight = false;
+  // It has said that it leaves: its runs are stopped, and its lease is not
+  // renewed.
+  bool m_is_leaving = false;
   // Its removal is proposed. It gets no further calls.
   bool m_removal_proposed = false;
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
@@ -106,9 +110,9 @@
 
 template <>
 struct bronzebarrow::EnumNames<bronzebarrow::runs::RemovalCause> {
-  static constexpr std::array<std::string_view, 6> kNames = {
-      "restarted",   "other_incarnation", "successor",
-      "listed_down", "listed_busy",       "refused"};
+  static constexpr std::array<std::string_view, 7> kNames = {
+      "restarted",   "other_incarnation", "successor", "listed_down",
+      "listed_busy", "refused",           "left"};
 };
 
 template <>
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -12,6 +12,9 @@
 // because delayed ones must not register it again at once; a runner that sends
 // more is running and is registered again.
 constexpr std::uint64_t kIgnoredHeartbeatsAfterRemoval = 2;
+// A runner that leaves is answered when its runs have ended, or after this
+// time: it asks another member after a second.
+constexpr Duration kLeaveTimeout = Millis(700);
 // One in this many repeated heartbeats still reaches the leader, which compares
 // the sequence numbers of delayed ones with it.
 constexpr std::uint64_t kHeartbeatsPerForwarded = 4;
@@ -261,22 +264,24 @@
   }
   const std::string& id = report.runner->id;
   const jobs::Runner* const registered = m_state.FindRunner(id);
+  const std::uint64_t born_ms = report.runner->born_ms;
   if (report.leaves) {
-    if (registered == nullptr) {
+    // A late report of an earlier incarnation says nothing of this one.
+    if (registered == nullptr ||
+        (born_ms != 0 && born_ms != registered->m_record.born_ms)) {
       Reply(source, call_id, wire::CallOutcome::Accepted);
       return;
     }
-    wire::RemoveRunnerT remove;
-    remove.runner = id;
-    remove.born_ms = registered->m_record.born_ms;
-    wire::WorkBodyUnion command;
-    command.Set(std::move(remove));
-    EventLine(Event::kRunnerRemoved).Field("runner", id).Field("cause", "left");
-    AddPendingCall(AddCommand(std::move(command)), source, call_id,
-                   wire::WorkBody::RemoveRunner);
+    Heartbeat& last_report = m_heartbeats[id];
+    last_report.m_born_ms = registered->m_record.born_ms;
+    last_report.m_sequence =
+        std::max(last_report.m_sequence, report.runner->sequence);
+    m_pending_leaves[id].push_back(
+        {source, call_id, m_moment.m_now + kLeaveTimeout});
+    m_dispatcher.OnLeaving(id, born_ms, m_moment.m_now);
+    TakeDispatcherCommands();
     return;
   }
-  const std::uint64_t born_ms = report.runner->born_ms;
   const std::uint64_t sequence = report.runner->sequence;
   const auto removed = m_removed_runners.find(id);
   if (removed != m_removed_runners.end()) {
@@ -329,6 +334,29 @@
                  wire::WorkBody::RegisterRunner);
 }
 
+void WorkCore::AnswerLeaves(const std::string& runner) {
+  const auto leaves = m_pending_leaves.find(runner);
+  if (leaves == m_pending_leaves.end()) {
+    return;
+  }
+  for (const PendingLeave& leave : leaves->second) {
+    Reply(leave.m_source, leave.m_call_id, wire::CallOutcome::Accepted);
+  }
+  m_pending_leaves.erase(leaves);
+}
+
+void WorkCore::AnswerOverdueLeaves() {
+  std::vector<std::string> overdue;
+  for (const auto& [runner, leaves] : m_pending_leaves) {
+    if (m_moment.m_now >= leaves.front().m_answer_at) {
+      overdue.push_back(runner);
+    }
+  }
+  for (const std::string& runner : overdue) {
+    AnswerLeaves(runner);
+  }
+}
+
 bool WorkCore::IsRepeatedReport(const wire::ReportRunnerCallT& report) const {
   if (report.leaves || !report.runner ||
       report.runner->sequence % kHeartbeatsPerForwarded == 0) {
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -53,6 +53,7 @@
   if (m_dispatcher.leading()) {
     m_replica.RequestLeadershipConfirmation();
     HandOffIfDiskStalled();
+    AnswerOverdueLeaves();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
       m_machine_planner.SetDemandInputs(m_admission.RejectedMilli(moment.m_now),
@@ -329,6 +330,12 @@
     }
   }
   m_pending_calls.clear();
+  for (const auto& [runner, leaves] : m_pending_leaves) {
+    for (const PendingLeave& leave : leaves) {
+      Reply(leave.m_source, leave.m_call_id, wire::CallOutcome::Unknown);
+    }
+  }
+  m_pending_leaves.clear();
   m_commands.clear();
   m_pending_submits.clear();
   m_pending_assignments.clear();
@@ -397,6 +404,7 @@
     m_plan_needed = true;
     if (applied.m_kind == wire::WorkBody::RemoveRunner && applied.m_changed) {
       RecordRemoval(applied.m_runner, applied.m_born_ms);
+      AnswerLeaves(applied.m_runner);
     }
     if (applied.m_kind == wire::WorkBody::AcceptJob) {
       m_pending_submits.erase(applied.m_job);
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -41,9 +41,9 @@
 // number; the margin is wide because the estimate may be far too low.
 constexpr std::uint32_t kStallEstimateDivisor = 5;
 
-std::unique_ptr<wire::RunEndT> MakeEnd(const jobs::RunKey& run,
+std::unique_ptr<wire::RunEndT> MakeEnd(const jobs::RunKey &run,
                                        wire::EndKind how,
-                                       const std::string& checkpoint) {
+                                       const std::string &checkpoint) {
   auto end = std::make_unique<wire::RunEndT>();
   end->task = std::make_unique<wire::TaskRef>(ToWire(run));
   end->how = how;
@@ -53,7 +53,7 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(const jobs::WorkState& state, DispatcherOptions options)
+Dispatcher::Dispatcher(const jobs::WorkState &state, DispatcherOptions options)
     : m_state(state), m_options(options) {}
 
 void Dispatcher::BecomeLeader(std::uint64_t epoch, Instant now) {
@@ -63,10 +63,10 @@
   m_calls.clear();
   m_commands.clear();
   m_next_inventory = now;
-  for (const auto& [id, runner] : m_state.runners()) {
+  for (const auto &[id, runner] : m_state.runners()) {
     RefreshLink(id, now);
   }
-  for (const auto& [id, job] : m_state.jobs()) {
+  for (const auto &[id, job] : m_state.jobs()) {
     if (job.m_state != jobs::JobState::kActive) {
       StopRunsOfEndedJob(id, now);
     }
@@ -75,7 +75,7 @@
 
 void Dispatcher::StepDown() {
   m_epoch = 0;
-  for (const auto& [id, link] : m_links) {
+  for (const auto &[id, link] : m_links) {
     m_unused_addresses.push_back(link.m_address);
   }
   m_links.clear();
@@ -95,25 +95,25 @@
   return std::exchange(m_unused_addresses, {});
 }
 
-const RunnerLink* Dispatcher::FindLink(const std::string& runner) const {
+const RunnerLink *Dispatcher::FindLink(const std::string &runner) const {
   const auto link = m_links.find(runner);
   return link == m_links.end() ? nullptr : &link->second;
 }
 
-bool Dispatcher::IsUsable(const std::string& runner, Instant now) const {
-  const RunnerLink* const link = FindLink(runner);
+bool Dispatcher::IsUsable(const std::string &runner, Instant now) const {
+  const RunnerLink *const link = FindLink(runner);
   return link != nullptr && link->m_fenced && !link->m_removal_proposed &&
-         !link->m_leases_expired &&
+         !link->m_is_leaving && !link->m_leases_expired &&
          link->m_consecutive_timeouts < kUnresponsiveTimeouts &&
          now >= link->m_backoff_until && !link->m_health.IsQuarantined(now);
 }
 
-void Dispatcher::SetTicket(const jobs::TaskKey& task, std::string ticket) {
+void Dispatcher::SetTicket(const jobs::TaskKey &task, std::string ticket) {
   m_tickets[task] = std::move(ticket);
 }
 
-void Dispatcher::RefreshLink(const std::string& id, Instant now) {
-  const jobs::Runner* const runner = m_state.FindRunner(id);
+void Dispatcher::RefreshLink(const std::string &id, Instant now) {
+  const jobs::Runner *const runner = m_state.FindRunner(id);
   const auto known = m_links.find(id);
   if (known != m_links.end() &&
       (runner == nullptr ||
@@ -129,7 +129,7 @@
     known->second.m_address = runner->m_record.address;
     return;
   }
-  RunnerLink& link = m_links[id];
+  RunnerLink &link = m_links[id];
   link = RunnerLink();
   link.m_born_ms = runner->m_record.born_ms;
   link.m_address = runner->m_record.address;
@@ -141,8 +141,8 @@
     link.m_inherited_leases_expire =
         now + m_options.m_owner_overlap + longest + kExpiryMargin;
   }
-  for (const auto& [task, run] : runner->m_assigned) {
-    TrackedRun& tracked = link.m_tracked_runs[task];
+  for (const auto &[task, run] : runner->m_assigned) {
+    TrackedRun &tracked = link.m_tracked_runs[task];
     AddTrial(link, task);
     tracked.m_run = run;
     tracked.m_state = TrackedRunState::kInherited;
@@ -151,7 +151,7 @@
   }
 }
 
-Instant Dispatcher::LeaseExpiry(const RunnerLink& link) const {
+Instant Dispatcher::LeaseExpiry(const RunnerLink &link) const {
   Instant expiry = link.m_inherited_leases_expire;
   if (link.m_expires_ms > link.m_clock_ms) {
     const Millis left(link.m_expires_ms - link.m_clock_ms);
@@ -162,8 +162,8 @@
   return expiry;
 }
 
-RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string& runner,
-                                RunnerLink& link, Instant now) const {
+RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string &runner,
+                                RunnerLink &link, Instant now) const {
   RunnerCall call;
   call.m_kind = kind;
   call.m_runner = runner;
@@ -171,10 +171,10 @@
   call.m_address = link.m_address;
   call.m_epoch = m_epoch;
   call.m_sent = now;
-  // The lease of an unresponsive runner is not extended: its runs are lost, and
-  // their tasks assigned again, when the last lease it may have received
-  // expires.
-  if (link.m_consecutive_timeouts > 0) {
+  // The lease of an unresponsive or leaving runner is not extended: its runs
+  // are lost, and their tasks assigned again, when the last lease it may have
+  // received expires.
+  if (link.m_consecutive_timeouts > 0 || link.m_is_leaving) {
     call.m_expires_ms = kind == CallKind::kStart ? link.m_expires_ms : 0;
   } else if (link.m_clock_ms != 0 &&
              (kind == CallKind::kHold || kind == CallKind::kStart)) {
@@ -185,11 +185,11 @@
   return call;
 }
 
-void Dispatcher::SendStart(const std::string& runner, RunnerLink& link,
-                           const jobs::TaskKey& task, TrackedRun& tracked,
+void Dispatcher::SendStart(const std::string &runner, RunnerLink &link,
+                           const jobs::TaskKey &task, TrackedRun &tracked,
                            Instant now) {
-  const jobs::Job* const job = m_state.FindJob(task.m_job);
-  const jobs::Task* const state =
+  const jobs::Job *const job = m_state.FindJob(task.m_job);
+  const jobs::Task *const state =
       job == nullptr ? nullptr : job->FindTask(task);
   if (state == nullptr) {
     return;
@@ -206,19 +206,19 @@
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::SendStop(const std::string& runner, RunnerLink& link,
-                          const jobs::RunKey& run, Instant now) {
+void Dispatcher::SendStop(const std::string &runner, RunnerLink &link,
+                          const jobs::RunKey &run, Instant now) {
   RunnerCall call = MakeCall(CallKind::kStop, runner, link, now);
   call.m_run = run;
-  const jobs::Job* const job = m_state.FindJob(run.m_task.m_job);
+  const jobs::Job *const job = m_state.FindJob(run.m_task.m_job);
   call.m_job_name =
       job == nullptr ? jobs::JobIdText(run.m_task.m_job) : job->m_spec.id;
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::SendHold(const std::string& runner, RunnerLink& link,
+void Dispatcher::SendHold(const std::string &runner, RunnerLink &link,
                           Instant now) {
-  const jobs::Runner* const known = m_state.FindRunner(runner);
+  const jobs::Runner *const known = m_state.FindRunner(runner);
   if (known == nullptr) {
     return;
   }
@@ -233,7 +233,7 @@
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::Throttle(const std::string& runner, const jobs::TaskKey& task,
+void Dispatcher::Throttle(const std::string &runner, const jobs::TaskKey &task,
                           std::uint32_t percent, Instant now) {
   const auto link = m_links.find(runner);
   if (!leading() || link == m_links.end()) {
@@ -246,14 +246,14 @@
   }
   RunnerCall call = MakeCall(CallKind::kThrottle, runner, link->second, now);
   call.m_run = {task, tracked->second.m_run};
-  const jobs::Job* const job = m_state.FindJob(task.m_job);
+  const jobs::Job *const job = m_state.FindJob(task.m_job);
   call.m_job_name = job == nullptr ? "" : job->m_spec.id;
   call.m_percent = percent;
   tracked->second.m_throttle_percent = percent;
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::StopRun(const std::string& runner, const jobs::TaskKey& task,
+void Dispatcher::StopRun(const std::string &runner, const jobs::TaskKey &task,
                          Instant now) {
   const auto link = m_links.find(runner);
   if (link == m_links.end()) {
@@ -272,16 +272,16 @@
 }
 
 void Dispatcher::StopRunsOfEndedJob(jobs::JobId id, Instant now) {
-  const jobs::Job* const job = m_state.FindJob(id);
+  const jobs::Job *const job = m_state.FindJob(id);
   if (job == nullptr) {
     return;
   }
-  for (const auto& [number, occurrence] : job->m_occurrences) {
+  for (const auto &[number, occurrence] : job->m_occurrences) {
     for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
       if (occurrence.m_steps[step].m_assigned == 0) {
         continue;
       }
-      const auto& tasks = occurrence.m_steps[step].m_tasks;
+      const auto &tasks = occurrence.m_steps[step].m_tasks;
       for (std::size_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].m_state == jobs::TaskState::kAssigned) {
           StopRun(tasks[index].m_runner,
@@ -294,7 +294,7 @@
   }
 }
 
-bool Dispatcher::StopTracking(RunnerLink& link, const jobs::RunKey& run) {
+bool Dispatcher::StopTracking(RunnerLink &link, const jobs::RunKey &run) {
   const auto tracked = link.m_tracked_runs.find(run.m_task);
   if (tracked == link.m_tracked_runs.end() ||
       tracked->second.m_run != run.m_run) {
@@ -305,7 +305,7 @@
   return true;
 }
 
-void Dispatcher::OnApplied(const jobs::ApplyResult& applied, Instant now) {
+void Dispatcher::OnApplied(const jobs::ApplyResult &applied, Instant now) {
   if (!leading()) {
     return;
   }
@@ -315,13 +315,13 @@
   }
   const auto found = m_links.find(applied.m_runner);
   if (found != m_links.end()) {
-    RunnerLink& link = found->second;
+    RunnerLink &link = found->second;
     if (applied.m_kind == wire::WorkBody::EndRuns) {
       link.m_ends_proposed = false;
       link.m_next_hold = std::min(link.m_next_hold, now);
     }
-    for (const jobs::RunKey& run : applied.m_assigned) {
-      TrackedRun& tracked = link.m_tracked_runs[run.m_task];
+    for (const jobs::RunKey &run : applied.m_assigned) {
+      TrackedRun &tracked = link.m_tracked_runs[run.m_task];
       tracked = TrackedRun();
       AddTrial(link, run.m_task);
       tracked.m_run = run.m_run;
@@ -334,12 +334,14 @@
       }
       // A start sent now could still reach a runner whose runs are about to be
       // declared lost.
-      if (!link.m_removal_proposed) {
+      if (link.m_is_leaving && !link.m_removal_proposed) {
+        ProposeLostRuns(applied.m_runner, link, {run}, "not started");
+      } else if (!link.m_removal_proposed) {
         SendStart(applied.m_runner, link, run.m_task, tracked, now);
       }
     }
   }
-  for (const jobs::RunKey& run : applied.m_ended) {
+  for (const jobs::RunKey &run : applied.m_ended) {
     const bool tracked_here =
         found != m_links.end() && StopTracking(found->second, run);
     // When one member of a gang is done, the runs of the others end too; they
@@ -360,7 +362,7 @@
   if (!leading()) {
     return;
   }
-  for (auto& [runner, link] : m_links) {
+  for (auto &[runner, link] : m_links) {
     if (!link.m_removal_proposed) {
       TickLink(runner, link, now);
     }
@@ -372,8 +374,8 @@
     return false;
   }
   const bool needed =
-      std::any_of(m_links.begin(), m_links.end(), [](const auto& item) {
-        const RunnerLink& link = item.second;
+      std::any_of(m_links.begin(), m_links.end(), [](const auto &item) {
+        const RunnerLink &link = item.second;
         return link.m_silent_since != Instant() && !link.m_removal_proposed &&
                !link.m_leases_expired && !link.m_tracked_runs.empty();
       });
@@ -384,7 +386,7 @@
   return needed;
 }
 
-void Dispatcher::OnEndListed(const std::string& runner, Instant requested_at,
+void Dispatcher::OnEndListed(const std::string &runner, Instant requested_at,
                              bool crashed, Instant now) {
   const auto link = m_links.find(runner);
   if (leading() && link != m_links.end() &&
@@ -396,10 +398,43 @@
   }
 }
 
-bool Dispatcher::HasSuccessor(const std::string& runner,
-                              const RunnerLink& link) const {
-  const jobs::Runner* const known = m_state.FindRunner(runner);
-  const jobs::Runner* const latest =
+void Dispatcher::OnLeaving(const std::string &runner, std::uint64_t born_ms,
+                           Instant now) {
+  const auto found = m_links.find(runner);
+  if (!leading() || found == m_links.end() ||
+      (born_ms != 0 && born_ms != found->second.m_born_ms)) {
+    return;
+  }
+  RunnerLink &link = found->second;
+  if (!link.m_is_leaving) {
+    link.m_is_leaving = true;
+    EventLine(Event::kRunnerLeaving)
+        .Field("runner", runner)
+        .Field("born", link.m_born_ms)
+        .Field("runs", link.m_tracked_runs.size());
+  }
+  EmptyLeavingRunner(runner, link, now);
+}
+
+void Dispatcher::EmptyLeavingRunner(const std::string &runner, RunnerLink &link,
+                                    Instant now) {
+  if (link.m_tracked_runs.empty()) {
+    ProposeRemoval(runner, link, RemovalCause::kLeft, now);
+    return;
+  }
+  std::vector<jobs::TaskKey> tasks;
+  for (const auto &[task, run] : link.m_tracked_runs) {
+    tasks.push_back(task);
+  }
+  for (const jobs::TaskKey &task : tasks) {
+    StopRun(runner, task, now);
+  }
+}
+
+bool Dispatcher::HasSuccessor(const std::string &runner,
+                              const RunnerLink &link) const {
+  const jobs::Runner *const known = m_state.FindRunner(runner);
+  const jobs::Runner *const latest =
       known == nullptr || known->m_record.machine.empty()
           ? nullptr
           : m_state.FindLatestRunnerOfMachine(known->m_record.machine);
@@ -407,12 +442,18 @@
          latest->m_record.born_ms > link.m_born_ms;
 }
 
-void Dispatcher::TickLink(const std::string& runner, RunnerLink& link,
+void Dispatcher::TickLink(const std::string &runner, RunnerLink &link,
                           Instant now) {
   if (link.m_silent_since != Instant() && HasSuccessor(runner, link)) {
     ProposeRemoval(runner, link, RemovalCause::kSuccessor, now);
     return;
   }
+  if (link.m_is_leaving) {
+    EmptyLeavingRunner(runner, link, now);
+    if (link.m_removal_proposed) {
+      return;
+    }
+  }
   if (!link.m_hold_in_flight && !link.m_ends_proposed &&
       now >= link.m_next_hold) {
     SendHold(runner, link, now);
@@ -422,7 +463,7 @@
   if (unresponsive && !link.m_leases_expired && now >= LeaseExpiry(link)) {
     link.m_leases_expired = true;
     std::vector<jobs::RunKey> runs;
-    for (const auto& [task, tracked] : link.m_tracked_runs) {
+    for (const auto &[task, tracked] : link.m_tracked_runs) {
       runs.push_back({task, tracked.m_run});
     }
     EventLine(Event::kRunnerLapsed, Severity::kWarning)
@@ -431,7 +472,7 @@
         .Field("silent_ms", ToMillis(now - link.m_last_answer));
     ProposeLostRuns(runner, link, runs, "lapsed");
   }
-  for (auto& [task, tracked] : link.m_tracked_runs) {
+  for (auto &[task, tracked] : link.m_tracked_runs) {
     if (tracked.m_call_in_flight || now < tracked.m_next_attempt ||
         tracked.m_state == TrackedRunState::kEndProposed) {
       continue;
@@ -448,14 +489,14 @@
   }
 }
 
-void Dispatcher::ProposeLostRuns(const std::string& runner, RunnerLink& link,
-                                 const std::vector<jobs::RunKey>& runs,
+void Dispatcher::ProposeLostRuns(const std::string &runner, RunnerLink &link,
+                                 const std::vector<jobs::RunKey> &runs,
                                  std::string_view cause) {
   wire::EndRunsT ends;
   ends.runner = runner;
   ends.born_ms = link.m_born_ms;
-  for (const jobs::RunKey& run : runs) {
-    TrackedRun& tracked = link.m_tracked_runs[run.m_task];
+  for (const jobs::RunKey &run : runs) {
+    TrackedRun &tracked = link.m_tracked_runs[run.m_task];
     if (tracked.m_state == TrackedRunState::kEndProposed) {
       continue;
     }
@@ -474,14 +515,14 @@
   }
 }
 
-void Dispatcher::OnAnswer(const RunnerCall& call, const RunnerAnswer& answer,
+void Dispatcher::OnAnswer(const RunnerCall &call, const RunnerAnswer &answer,
                           Instant now) {
   const auto found = m_links.find(call.m_runner);
   if (!leading() || call.m_epoch != m_epoch || found == m_links.end() ||
       found->second.m_born_ms != call.m_born_ms) {
     return;
   }
-  RunnerLink& link = found->second;
+  RunnerLink &link = found->second;
   if (answer.m_kind == AnswerKind::kOtherIncarnation ||
       (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms)) {
     const auto tracked = link.m_tracked_runs.find(call.m_run.m_task);
@@ -522,8 +563,8 @@
   }
 }
 
-void Dispatcher::OnSilence(const RunnerCall& call, const RunnerAnswer& answer,
-                           RunnerLink& link, Instant now) {
+void Dispatcher::OnSilence(const RunnerCall &call, const RunnerAnswer &answer,
+                           RunnerLink &link, Instant now) {
   // A hold that is kept open breaks as soon as the runner's process ends.
   if (answer.m_kind == AnswerKind::kNoAnswer &&
       call.m_kind == CallKind::kHold && link.m_consecutive_timeouts == 0 &&
@@ -548,14 +589,14 @@
   }
 }
 
-void Dispatcher::OnStart(const RunnerCall& call, const RunnerAnswer& answer,
-                         RunnerLink& link, Instant now) {
+void Dispatcher::OnStart(const RunnerCall &call, const RunnerAnswer &answer,
+                         RunnerLink &link, Instant now) {
   const auto found = link.m_tracked_runs.find(call.m_run.m_task);
   if (found == link.m_tracked_runs.end() ||
       found->second.m_run != call.m_run.m_run) {
     return;
   }
-  TrackedRun& tracked = found->second;
+  TrackedRun &tracked = found->second;
   tracked.m_call_in_flight = false;
   tracked.m_confirmed_at = now;
   if (answer.m_kind == AnswerKind::kOk) {
@@ -611,14 +652,14 @@
   }
 }
 
-void Dispatcher::OnStop(const RunnerCall& call, const RunnerAnswer& answer,
-                        RunnerLink& link, Instant now) {
+void Dispatcher::OnStop(const RunnerCall &call, const RunnerAnswer &answer,
+                        RunnerLink &link, Instant now) {
   const auto found = link.m_tracked_runs.find(call.m_run.m_task);
   if (found == link.m_tracked_runs.end() ||
       found->second.m_run != call.m_run.m_run) {
     return;
   }
-  TrackedRun& tracked = found->second;
+  TrackedRun &tracked = found->second;
   tracked.m_call_in_flight = false;
   if (answer.m_kind == AnswerKind::kOk ||
       answer.m_kind == AnswerKind::kStaleRun) {
@@ -630,8 +671,8 @@
   }
 }
 
-void Dispatcher::OnHold(const RunnerCall& call, const RunnerAnswer& answer,
-                        RunnerLink& link, Instant now) {
+void Dispatcher::OnHold(const RunnerCall &call, const RunnerAnswer &answer,
+                        RunnerLink &link, Instant now) {
   link.m_hold_in_flight = false;
   if (answer.m_kind != AnswerKind::kOk) {
     link.m_next_hold = now + m_options.m_retry_delay;
@@ -655,10 +696,10 @@
   ReconcileRunList(call, answer, link, now);
 }
 
-void Dispatcher::ReconcileRunList(const RunnerCall& call,
-                                  const RunnerAnswer& answer, RunnerLink& link,
+void Dispatcher::ReconcileRunList(const RunnerCall &call,
+                                  const RunnerAnswer &answer, RunnerLink &link,
                                   Instant now) {
-  for (const ReportedRun& row : answer.m_running) {
+  for (const ReportedRun &row : answer.m_running) {
     const auto tracked = link.m_tracked_runs.find(row.m_run.m_task);
     if (tracked == link.m_tracked_runs.end() ||
         tracked->second.m_run != row.m_run.m_run) {
@@ -682,7 +723,7 @@
   ends.runner = call.m_runner;
   ends.born_ms = link.m_born_ms;
   ends.seen = call.m_last_recorded_end;
-  for (const ReportedEnd& row : answer.m_ended) {
+  for (const ReportedEnd &row : answer.m_ended) {
     if (row.m_end_number <= call.m_last_recorded_end) {
       continue;
     }
@@ -723,7 +764,7 @@
     return;  // The ends that are missing may be in the next list.
   }
   std::vector<jobs::RunKey> lost;
-  for (const auto& [task, tracked] : link.m_tracked_runs) {
+  for (const auto &[task, tracked] : link.m_tracked_runs) {
     const bool in_run_list =
         tracked.m_reported_at == now && tracked.m_confirmed_at <= now;
     if (in_run_list || tracked.m_state == TrackedRunState::kEndProposed ||
@@ -744,16 +785,16 @@
 
 // Limits the quarantine to a share of the pool, so that jobs that fail on every
 // runner cannot make the whole pool unusable.
-void Dispatcher::Quarantine(const std::string& runner, RunnerLink& link,
-                            const char* cause, Instant now) {
-  const jobs::Runner* const known = m_state.FindRunner(runner);
+void Dispatcher::Quarantine(const std::string &runner, RunnerLink &link,
+                            const char *cause, Instant now) {
+  const jobs::Runner *const known = m_state.FindRunner(runner);
   if (known == nullptr || link.m_health.IsQuarantined(now)) {
     return;
   }
   std::size_t pool_runners = 0;
   std::size_t quarantined = 0;
-  for (const auto& [id, peer_link] : m_links) {
-    const jobs::Runner* const peer = m_state.FindRunner(id);
+  for (const auto &[id, peer_link] : m_links) {
+    const jobs::Runner *const peer = m_state.FindRunner(id);
     if (peer != nullptr && peer->m_record.pool == known->m_record.pool) {
       ++pool_runners;
       quarantined += peer_link.m_health.IsQuarantined(now) ? 1 : 0;
@@ -774,16 +815,16 @@
 // Stops runs without progress so that their tasks are assigned to other
 // runners. Gangs are skipped, because stopping one member ends the runs of all
 // members.
-void Dispatcher::StopStalled(const std::string& runner, RunnerLink& link,
+void Dispatcher::StopStalled(const std::string &runner, RunnerLink &link,
                              Instant now) {
   std::vector<jobs::TaskKey> stalled;
-  for (const auto& [task, tracked] : link.m_tracked_runs) {
+  for (const auto &[task, tracked] : link.m_tracked_runs) {
     if (tracked.m_state != TrackedRunState::kStarted ||
         tracked.m_stop_requested || tracked.m_reported_at != now ||
         now < tracked.m_progressed_at + m_options.m_stall_timeout) {
       continue;
     }
-    const wire::StepSpecT* const step = m_state.FindStep(task);
+    const wire::StepSpecT *const step = m_state.FindStep(task);
     // A best-effort task may legitimately get no CPU for a while.
     if (step != nullptr && !step->lasting && !step->gang && !step->fills &&
         now >= tracked.m_progressed_at +
@@ -798,7 +839,7 @@
   if (!link.m_health.IsQuarantined(now)) {
     return;
   }
-  for (const jobs::TaskKey& task : stalled) {
+  for (const jobs::TaskKey &task : stalled) {
     EventLine(Event::kRunStopped, Severity::kWarning)
         .Field("task", jobs::TaskText(task))
         .Field("runner", runner)
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -122,7 +122,7 @@
   remove.born_ms = link.m_born_ms;
   const bool has_crashed =
       known != nullptr && !known->m_record.draining &&
-      cause != RemovalCause::kListedBusy &&
+      cause != RemovalCause::kListedBusy && cause != RemovalCause::kLeft &&
       !(m_is_down_as_requested && m_is_down_as_requested(*known));
   if (has_crashed) {
     const std::string& pool = known->m_record.pool;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(RunAssignedBeforeARemovalIsNotStarted);
   CPPUNIT_TEST(StartWithoutAnAnswerIsNoEvidenceOfACrash);
   CPPUNIT_TEST(InterruptedStartIsEvidenceOfACrash);
+  CPPUNIT_TEST(RunsOfALeavingRunnerAreStopped);
+  CPPUNIT_TEST(RunsOfASilentLeavingRunnerKeepTheirLease);
+  CPPUNIT_TEST(RunAssignedToALeavingRunnerIsNotStarted);
   CPPUNIT_TEST(CrashIsBlamedOnTheRunThatHasJustStarted);
   CPPUNIT_TEST(CrashUnderTwoNewRunsIsNotConclusive);
   CPPUNIT_TEST(GangThatHasJustStartedIsToBlameAsOne);
@@ -332,6 +335,70 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, CrashFirstRunner().new_runs.size());
   }
 
+  // Guards against a second run of a task whose runner has said that it leaves
+  // and has not ended yet.
+  void RunsOfALeavingRunnerAreStopped() {
+    AssignAndAge(1, 1, Millis(300));
+    m_dispatcher->OnLeaving(RunnerId(0), kBornMs - 1, m_now);
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(RunnerId(0), m_now));
+    m_dispatcher->OnLeaving(RunnerId(0), kBornMs, m_now);
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(RunnerId(0), m_now));
+    CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+    Advance(Millis(25));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stopped.size());
+    m_running.clear();
+    m_reported_end = {++m_last_end_number,
+                      {{1, 0, 0, 0}, 1},
+                      wire::EndKind::Stopped,
+                      "saved"};
+    m_reporting_runner = RunnerId(0);
+    for (int i = 0; i < 4; ++i) {
+      Advance(Millis(25));
+    }
+    CPPUNIT_ASSERT(m_state->FindRunner(RunnerId(0)) == nullptr);
+    const jobs::Task& task = *m_state->FindJob(1)->FindTask({1, 0, 0, 0});
+    CPPUNIT_ASSERT(task.m_state == jobs::TaskState::kWaiting);
+    CPPUNIT_ASSERT_EQUAL(std::string("saved"), task.m_checkpoint);
+  }
+
+  void RunsOfASilentLeavingRunnerKeepTheirLease() {
+    Assign(1, 1, RunnerId(0));
+    const Instant last_renewal = m_now;
+    m_dispatcher->OnLeaving(RunnerId(0), kBornMs, m_now);
+    Instant removed_at;
+    while (m_now < last_renewal + Millis(8000)) {
+      m_now += Millis(20);
+      m_dispatcher->Tick(m_now);
+      AnswerFirstRunner(AnswerKind::kNoAnswer);
+      for (wire::WorkBodyUnion& body : m_dispatcher->TakeCommands()) {
+        if (body.type == wire::WorkBody::RemoveRunner) {
+          removed_at = m_now;
+        } else {
+          CPPUNIT_ASSERT(m_now >= last_renewal + DispatcherOptions().m_lease);
+        }
+        ApplyBody(std::move(body));
+      }
+    }
+    CPPUNIT_ASSERT(removed_at >= last_renewal + DispatcherOptions().m_lease);
+    CPPUNIT_ASSERT(m_state->suspects().empty());
+  }
+
+  void RunAssignedToALeavingRunnerIsNotStarted() {
+    Assign(1, 1, RunnerId(0));
+    AcceptJob(2, 1);
+    m_dispatcher->OnLeaving(RunnerId(0), 0, m_now);
+    m_dispatcher->TakeOutgoingCalls();
+    AssignRuns(2, 1, RunnerId(0));
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      CPPUNIT_ASSERT(call.m_kind != CallKind::kStart);
+    }
+    for (wire::WorkBodyUnion& body : m_dispatcher->TakeCommands()) {
+      ApplyBody(std::move(body));
+    }
+    CPPUNIT_ASSERT(m_state->FindJob(2)->FindTask({2, 0, 0, 0})->m_state ==
+                   jobs::TaskState::kWaiting);
+  }
+
   void CrashIsBlamedOnTheRunThatHasJustStarted() {
     AssignAndAge(1, 2, Millis(300));
     Assign(2, 1, RunnerId(0));
--- a/tests/work_calls_test.cc
+++ b/tests/work_calls_test.cc
@@ -1,8 +1,10 @@
 // Tests the calls that a leader serves, in a group of one member: what callers
-// read of their jobs while the configuration and the wall clock change.
+// read of their jobs while the configuration and the wall clock change, and
+// what becomes of the runs of runners that leave.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,6 +26,9 @@
   CPPUNIT_TEST(JobIsFoundAfterItsQueueWasRenamed);
   CPPUNIT_TEST(EndedJobIsFoundAfterTheWallClockJumped);
   CPPUNIT_TEST(EndedJobIsForgottenInTheEnd);
+  CPPUNIT_TEST(IdleRunnerThatLeavesIsRemovedAtOnce);
+  CPPUNIT_TEST(LateLeaveOfAnEarlierIncarnationIsIgnored);
+  CPPUNIT_TEST(RunOfALeavingRunnerIsNotStartedElsewhereBeforeItEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +77,54 @@
     CPPUNIT_ASSERT(m_core->state().jobs().empty());
   }
 
+  void IdleRunnerThatLeavesIsRemovedAtOnce() {
+    Report("r", 1000, 1, false);
+    Advance(Millis(100));
+    CPPUNIT_ASSERT(Report("r", 1000, 2, true) == wire::CallOutcome::Accepted);
+    CPPUNIT_ASSERT(m_core->state().FindRunner("r") == nullptr);
+    // A heartbeat that was sent before is late.
+    Report("r", 1000, 1, false);
+    CPPUNIT_ASSERT(m_core->state().FindRunner("r") == nullptr);
+  }
+
+  // Guards against the removal of a running incarnation by a report that was
+  // held up.
+  void LateLeaveOfAnEarlierIncarnationIsIgnored() {
+    Report("r", 2000, 1, false);
+    Advance(Millis(100));
+    CPPUNIT_ASSERT(Report("r", 1000, 9, true) == wire::CallOutcome::Accepted);
+    CPPUNIT_ASSERT(m_core->state().FindRunner("r") != nullptr);
+    CPPUNIT_ASSERT(Report("r", 2000, 1, false) == wire::CallOutcome::Accepted);
+    CPPUNIT_ASSERT(m_core->state().FindRunner("r") != nullptr);
+  }
+
+  // Guards against a second run of a task: the report arrives, its answer and
+  // the calls to the runner are lost, and the runner ends some seconds later.
+  void RunOfALeavingRunnerIsNotStartedElsewhereBeforeItEnds() {
+    for (const char* id : {"r", "s"}) {
+      Report(id, 1000, 1, false);
+    }
+    Advance(Millis(500));
+    Submit();
+    Advance(Millis(500));
+    const jobs::TaskKey key = {kJob, 0, 0, 0};
+    const std::string runner =
+        m_core->state().FindJob(kJob)->FindTask(key)->m_runner;
+    CPPUNIT_ASSERT(!runner.empty());
+    m_silent_runner = runner;
+    const std::uint64_t call = Send(LeaveReport(runner, 1000, 2));
+    Advance(Millis(900));
+    CPPUNIT_ASSERT(TakeReply(call)->outcome == wire::CallOutcome::Accepted);
+    Advance(Millis(2000));
+    const jobs::Task* task = m_core->state().FindJob(kJob)->FindTask(key);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, task->m_run);
+    CPPUNIT_ASSERT_EQUAL(runner, task->m_runner);
+    Advance(Millis(4000));  // Its lease has expired.
+    task = m_core->state().FindJob(kJob)->FindTask(key);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, task->m_run);
+    CPPUNIT_ASSERT(m_core->state().FindRunner(runner) == nullptr);
+  }
+
  private:
   static std::string Path() { return kPrefix + jobs::JobIdText(kJob); }
 
@@ -90,23 +143,83 @@
       m_moment.m_wall_ms += 25;
       m_core->Tick(m_moment);
       Sync();
+      AnswerRunnerCalls();
+    }
+  }
+
+  // Each runner carries out its calls at once, but for the silent one.
+  void AnswerRunnerCalls() {
+    for (const runs::RunnerCall& call : m_core->TakeRunnerCalls()) {
+      runs::RunnerAnswer answer;
+      std::map<jobs::TaskKey, std::uint32_t>& running =
+          m_running[call.m_runner];
+      if (call.m_runner != m_silent_runner) {
+        answer.m_kind = runs::AnswerKind::kOk;
+        answer.m_born_ms = call.m_born_ms;
+        answer.m_clock_ms =
+            static_cast<std::uint64_t>(std::chrono::duration_cast<Millis>(
+                                           m_moment.m_now.time_since_epoch())
+                                           .count());
+      }
+      if (call.m_kind == runs::CallKind::kStart) {
+        running[call.m_run.m_task] = call.m_run.m_run;
+      }
+      for (const auto& [task, run] : running) {
+        answer.m_running.push_back({{task, run}, "", 0, 0});
+      }
+      m_core->OnRunnerAnswer(call, answer, m_moment);
+      Sync();
     }
   }
 
   template <typename Body>
-  wire::CallReplyT Call(Body body) {
+  std::uint64_t Send(Body body) {
     wire::CallT call;
     call.id = ++m_last_call;
     call.body.Set(std::move(body));
     m_core->OnCall(1, call, m_moment);
     Sync();
+    return call.id;
+  }
+
+  std::optional<wire::CallReplyT> TakeReply(std::uint64_t call_id) {
     for (OutgoingReply& reply : m_core->TakeReplies()) {
-      if (reply.m_reply.id == call.id) {
+      if (reply.m_reply.id == call_id) {
         return std::move(reply.m_reply);
       }
     }
-    CPPUNIT_FAIL("a call without a reply");
-    return {};
+    return std::nullopt;
+  }
+
+  template <typename Body>
+  wire::CallReplyT Call(Body body) {
+    std::optional<wire::CallReplyT> reply = TakeReply(Send(std::move(body)));
+    CPPUNIT_ASSERT_MESSAGE("a call without a reply", reply);
+    return *std::move(reply);
+  }
+
+  static wire::ReportRunnerCallT LeaveReport(const std::string& id,
+                                             std::uint64_t born_ms,
+                                             std::uint64_t sequence) {
+    wire::ReportRunnerCallT report;
+    report.runner = std::make_unique<wire::RunnerRecordT>();
+    report.runner->id = id;
+    report.runner->born_ms = born_ms;
+    report.runner->sequence = sequence;
+    report.leaves = true;
+    return report;
+  }
+
+  wire::CallOutcome Report(const std::string& id, std::uint64_t born_ms,
+                           std::uint64_t sequence, bool leaves) {
+    wire::ReportRunnerCallT report = LeaveReport(id, born_ms, sequence);
+    report.leaves = leaves;
+    report.runner->machine = "m-" + id;
+    report.runner->address = "127.0.0.1:1";
+    report.runner->pool = "pool";
+    report.runner->cpu_milli = 1000;
+    report.runner->memory_mb = 1000;
+    return Call(std::move(report)).outcome;
   }
 
   void PutConfig(std::uint64_t version, const std::string& queue_name) {
@@ -156,6 +269,9 @@
   Moment m_moment;
   std::unique_ptr<WorkCore> m_core;
   std::uint64_t m_last_call = 0;
+  // By runner.
+  std::map<std::string, std::map<jobs::TaskKey, std::uint32_t>> m_running;
+  std::string m_silent_runner;  // Does not answer; empty: none.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkCallsTest);
