Remove only the runner that an upkeep has ended

Cause: a new owner takes the machine's present runner for the one that the accepted request has ended. Ruled out: a second upkeep (the platform's record shows none), a run list without the run.

The same cause: an accepted move removed a runner that was already in the pool of its destination.

--- a/include/bronzebarrow/jobs/upkeep.h
+++ b/include/bronzebarrow/jobs/upkeep.h
@@ -18,9 +18,20 @@
   kSkipped,    // The machine left permanently, or is not part of the wave.
 };
 
+/** One life of a machine's runner. */
+struct RunnerLife {
+  std::string m_runner;  // Id; empty: none.
+  std::uint64_t m_born_ms = 0;
+  bool operator==(const RunnerLife&) const = default;
+};
+
 struct UpkeepWave {
   std::uint64_t m_wave = 0;  // Id of the wave.
   std::map<std::string, UpkeepState> m_machines;
+  // By machine: the runner that was registered when its upkeep was first
+  // requested. Only its end follows from an answer that the upkeep was carried
+  // out, as a repeated request gets that answer too.
+  std::map<std::string, RunnerLife> m_lives_before;
   std::uint64_t m_complete_by_ms = 0;  // Deadline in Unix milliseconds.
   std::uint32_t m_cap = 1;             // Most machines in upkeep at once.
 
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -163,6 +163,8 @@
   bool Drain(const std::string& machine, Operation& operation, Instant now);
   void SendRequest(const std::string& machine, Operation& operation,
                    Instant now);
+  void RemoveEndedRunner(const Operation& operation,
+                         const fleet::MachineRequest& request);
   bool HasReturned(const std::string& machine, const Operation& operation,
                    Instant now) const;
   bool IsLostOnMove(const std::string& machine, const Operation& operation,
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -104,6 +104,11 @@
       auto machine = std::make_unique<wire::UpkeepMachineT>();
       machine->machine = name;
       machine->state = static_cast<std::int8_t>(state);
+      const auto life = wave.m_lives_before.find(name);
+      if (life != wave.m_lives_before.end()) {
+        machine->runner = life->second.m_runner;
+        machine->born_ms = life->second.m_born_ms;
+      }
       wave_image->machines.push_back(std::move(machine));
     }
     image.waves.push_back(std::move(wave_image));
@@ -191,6 +196,10 @@
     for (const auto& machine : wave_image->machines) {
       wave.m_machines[machine->machine] =
           static_cast<UpkeepState>(machine->state);
+      if (!machine->runner.empty()) {
+        wave.m_lives_before[machine->machine] = {machine->runner,
+                                                 machine->born_ms};
+      }
     }
   }
   return true;
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -525,6 +525,13 @@
       machine->second == UpkeepState::kDone) {
     return;
   }
+  if (machine->second == UpkeepState::kDue) {
+    if (const Runner* const runner =
+            FindLatestRunnerOfMachine(record.machine)) {
+      wave->second.m_lives_before[record.machine] = {runner->m_record.id,
+                                                     runner->m_record.born_ms};
+    }
+  }
   machine->second = record.skipped ? UpkeepState::kSkipped
                     : record.done  ? UpkeepState::kDone
                                    : UpkeepState::kRequested;
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -628,6 +628,44 @@
   }
 }
 
+// The platform also accepts requests for an operation that is already done. So
+// an accepted request shows the end of a runner only if that runner was there
+// before the operation: before the first request for an upkeep, or in another
+// pool than the destination of a move. The machine's runner may have come
+// since.
+void MachinePlanner::RemoveEndedRunner(const Operation& operation,
+                                       const fleet::MachineRequest& request) {
+  const bool is_upkeep = request.m_action == fleet::MachineAction::kUpkeep;
+  jobs::RunnerLife ended = {operation.m_runner, operation.m_born_ms};
+  if (is_upkeep) {
+    const auto wave = m_state.waves().find(request.m_wave);
+    if (wave == m_state.waves().end()) {
+      return;
+    }
+    const auto life = wave->second.m_lives_before.find(request.m_machine);
+    ended = life == wave->second.m_lives_before.end() ? jobs::RunnerLife()
+                                                      : life->second;
+  }
+  const jobs::Runner* const runner = m_state.FindRunner(ended.m_runner);
+  if (runner == nullptr || runner->m_record.born_ms != ended.m_born_ms ||
+      (!is_upkeep && runner->m_record.pool == request.m_pool)) {
+    EventLine(Event::kRunnerKept)
+        .Field("machine", request.m_machine)
+        .Field("drained", operation.m_runner)
+        .Field("born", operation.m_born_ms)
+        .Field("why", "it may have started after the operation");
+    return;
+  }
+  EventLine(Event::kRunnerRemoved)
+      .Field("runner", ended.m_runner)
+      .Field("cause", is_upkeep ? "upkeep" : "move")
+      .Field("runs", runner->m_assigned.size());
+  wire::RemoveRunnerT remove;
+  remove.runner = ended.m_runner;
+  remove.born_ms = ended.m_born_ms;
+  m_commands.emplace_back().Set(std::move(remove));
+}
+
 void MachinePlanner::OnAnswer(const fleet::MachineRequest& request,
                               fleet::MachineResponse answer, Instant now) {
   const auto found = m_operations.find(request.m_machine);
@@ -653,18 +691,7 @@
         m_not_movable_before[request.m_machine] =
             now + m_options.m_move_duration;
       }
-      if (!operation.m_runner.empty()) {
-        const jobs::Runner* const runner =
-            m_state.FindRunner(operation.m_runner);
-        EventLine(Event::kRunnerRemoved)
-            .Field("runner", operation.m_runner)
-            .Field("cause", is_upkeep ? "upkeep" : "move")
-            .Field("runs", runner == nullptr ? 0 : runner->m_assigned.size());
-        wire::RemoveRunnerT remove;
-        remove.runner = operation.m_runner;
-        remove.born_ms = operation.m_born_ms;
-        m_commands.emplace_back().Set(std::move(remove));
-      }
+      RemoveEndedRunner(operation, request);
       break;
     }
     case fleet::MachineResponse::kInvalid:
--- a/tests/machine_planner_test.cc
+++ b/tests/machine_planner_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(MachineListedAsMovingIsUsedBeforeNextListing);
   CPPUNIT_TEST(NewOwnerWaitsForHandoverOfAMachine);
   CPPUNIT_TEST(RunnerThatCameAfterARequestIsNotDownAsRequested);
+  CPPUNIT_TEST(RunnerThatCameAfterAnUpkeepOutlivesARepeatedRequest);
+  CPPUNIT_TEST(AcceptedUpkeepRemovesTheRunnerBeforeIt);
   CPPUNIT_TEST(MachineWithoutRunnerGetsItsUpkeep);
   CPPUNIT_TEST(LaterPlansDoNotDelayADrain);
   CPPUNIT_TEST(EarlierOpenPlanDelaysADrain);
@@ -111,6 +113,45 @@
         *m_state->FindLatestRunnerOfMachine(machine)));
   }
 
+  // Guards against a second run of a task: a new owner repeats the request for
+  // an upkeep that is done, the platform accepts it, and nothing ends.
+  void RunnerThatCameAfterAnUpkeepOutlivesARepeatedRequest() {
+    StartWave("full");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RequestsWithin(Millis(500)).size());
+    wire::RegisterRunnerT next;
+    next.runner = std::make_unique<wire::RunnerRecordT>(
+        m_state->FindLatestRunnerOfMachine("full")->m_record);
+    const std::uint64_t born_ms = ++next.runner->born_ms;
+    Apply(std::move(next));
+    TakeOwnership();
+    const auto repeated = RequestsWithin(Millis(7000));
+    CPPUNIT_ASSERT(!repeated.empty());
+    m_planner->OnAnswer(repeated[0], fleet::MachineResponse::kOk, m_now);
+    RequestsWithin(Millis(500));
+    const jobs::Runner* const runner =
+        m_state->FindLatestRunnerOfMachine("full");
+    CPPUNIT_ASSERT(runner != nullptr);
+    CPPUNIT_ASSERT_EQUAL(born_ms, runner->m_record.born_ms);
+    RequestsWithin(Millis(3000));
+    CPPUNIT_ASSERT(m_state->waves().at(1).IsCompleted());
+  }
+
+  void AcceptedUpkeepRemovesTheRunnerBeforeIt() {
+    for (const bool owner_changes : {false, true}) {
+      setUp();
+      StartWave("full");
+      auto requests = RequestsWithin(Millis(500));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests.size());
+      if (owner_changes) {
+        TakeOwnership();
+        requests = RequestsWithin(Millis(7000));
+      }
+      m_planner->OnAnswer(requests.at(0), fleet::MachineResponse::kOk, m_now);
+      RequestsWithin(Millis(50));
+      CPPUNIT_ASSERT(m_state->FindLatestRunnerOfMachine("full") == nullptr);
+    }
+  }
+
   // Guards against a wave that never completes because a machine without a
   // runner is never selected.
   void MachineWithoutRunnerGetsItsUpkeep() {
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(InvalidConfigurationsAreRejected);
   CPPUNIT_TEST(PeriodicJobOpensOccurrences);
   CPPUNIT_TEST(GangCompletesWithOneMember);
+  CPPUNIT_TEST(RunnerBeforeAnUpkeepOutlivesTheSnapshot);
   CPPUNIT_TEST(TaskKeyTextRoundTrips);
   CPPUNIT_TEST(ImageRoundTripPreservesState);
   CPPUNIT_TEST(IndexesEqualTheirRecomputation);
@@ -365,6 +366,42 @@
     }
   }
 
+  void RunnerBeforeAnUpkeepOutlivesTheSnapshot() {
+    wire::RegisterRunnerT before;
+    before.runner = std::make_unique<wire::RunnerRecordT>();
+    before.runner->id = "s";
+    before.runner->machine = "m";
+    before.runner->born_ms = 5;
+    wire::RegisterRunnerT after;
+    after.runner = std::make_unique<wire::RunnerRecordT>(*before.runner);
+    after.runner->born_ms = 6;
+    Apply(std::move(before));
+    wire::StartUpkeepT start;
+    start.wave = 1;
+    start.cap = 1;
+    start.machines = {"m", "without-runner"};
+    Apply(std::move(start));
+    for (const std::string machine : {"m", "without-runner"}) {
+      wire::RecordUpkeepT record;
+      record.wave = 1;
+      record.machine = machine;
+      Apply(wire::RecordUpkeepT(record));
+    }
+    Apply(std::move(after));
+    wire::RecordUpkeepT repeated;
+    repeated.wave = 1;
+    repeated.machine = "m";
+    Apply(std::move(repeated));
+    WorkState copy;
+    CPPUNIT_ASSERT(copy.Load(m_state->Image()));
+    const std::vector<const WorkState*> states = {m_state.get(), &copy};
+    for (const WorkState* const state : states) {
+      const auto& lives = state->waves().at(1).m_lives_before;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lives.size());
+      CPPUNIT_ASSERT(lives.at("m") == (RunnerLife{"s", 5}));
+    }
+  }
+
   // Guards against members that diverge: one that loads an image must have the
   // same state as one that applied every command.
   void ImageRoundTripPreservesState() {
