--- a/include/bronzebarrow/runs/runner_call.h
+++ b/include/bronzebarrow/runs/runner_call.h
@@ -3,6 +3,7 @@
 #define BRONZEBARROW_RUNS_RUNNER_CALL_H_
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,8 @@
   std::string m_checkpoint;
 };
 
+constexpr std::uint64_t kAllEnds = std::numeric_limits<std::uint64_t>::max();
+
 struct RunnerAnswer {
   AnswerKind m_kind = AnswerKind::kNoAnswer;
   // With kNoAnswer: the call was sent, and its connection ended before a
@@ -82,6 +85,12 @@
   std::uint64_t m_clock_ms = 0;  // The runner's clock; 0: not reported.
   std::vector<ReportedRun> m_running;
   std::vector<ReportedEnd> m_ended;
+  // A row of the running runs could not be read: a run that is missing from
+  // m_running may be running.
+  bool m_is_running_incomplete = false;
+  // The highest end that may be acknowledged: those after it follow a row that
+  // could not be read.
+  std::uint64_t m_acknowledgeable = kAllEnds;
 };
 
 }  // namespace bronzebarrow::runs
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -88,6 +88,8 @@
   bool m_is_leaving = false;
   // Its removal is proposed. It gets no further calls.
   bool m_removal_proposed = false;
+  // Reported ends up to this number are handled, acknowledged or not.
+  std::uint64_t m_last_processed_end = 0;
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
   Instant m_next_hold;
   Instant m_last_answer;
--- a/src/node/relay_table.cc
+++ b/src/node/relay_table.cc
@@ -148,6 +148,8 @@
   relayed.born_ms = answer.m_born_ms;
   relayed.clock_ms = answer.m_clock_ms;
   relayed.connection_ended = answer.m_connection_ended;
+  relayed.running_incomplete = answer.m_is_running_incomplete;
+  relayed.acknowledgeable = answer.m_acknowledgeable;
   for (const runs::ReportedRun& row : answer.m_running) {
     auto& run =
         relayed.running.emplace_back(std::make_unique<wire::RelayedRunT>());
@@ -175,6 +177,8 @@
   answer.m_born_ms = relayed.born_ms;
   answer.m_clock_ms = relayed.clock_ms;
   answer.m_connection_ended = relayed.connection_ended;
+  answer.m_is_running_incomplete = relayed.running_incomplete;
+  answer.m_acknowledgeable = relayed.acknowledgeable;
   for (const auto& row : relayed.running) {
     answer.m_running.push_back(
         {RunFromWire(row->run), row->checkpoint, row->percent, row->load});
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -31,6 +31,10 @@
 // A runner lists at most this many ends at a time (platform documentation).
 constexpr std::size_t kMaxListedEnds = 500;
 
+// Ends are numbered one by one. A number that is higher than the last recorded
+// one by more than this is not one of the runner's.
+constexpr std::uint64_t kMaxEndNumberStep = 1'000'000;
+
 // At most one in this many runners of a pool is quarantined at a time.
 constexpr std::size_t kQuarantineShareDivisor = 4;
 // Runs of one runner that must be stalled at the same time before it is
@@ -41,9 +45,9 @@
 // number; the margin is wide because the estimate may be far too low.
 constexpr std::uint32_t kStallEstimateDivisor = 5;
 
-std::unique_ptr<wire::RunEndT> MakeEnd(const jobs::RunKey &run,
+std::unique_ptr<wire::RunEndT> MakeEnd(const jobs::RunKey& run,
                                        wire::EndKind how,
-                                       const std::string &checkpoint) {
+                                       const std::string& checkpoint) {
   auto end = std::make_unique<wire::RunEndT>();
   end->task = std::make_unique<wire::TaskRef>(ToWire(run));
   end->how = how;
@@ -53,7 +57,7 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(const jobs::WorkState &state, DispatcherOptions options)
+Dispatcher::Dispatcher(const jobs::WorkState& state, DispatcherOptions options)
     : m_state(state), m_options(options) {}
 
 void Dispatcher::BecomeLeader(std::uint64_t epoch, Instant now) {
@@ -63,10 +67,10 @@
   m_calls.clear();
   m_commands.clear();
   m_next_inventory = now;
-  for (const auto &[id, runner] : m_state.runners()) {
+  for (const auto& [id, runner] : m_state.runners()) {
     RefreshLink(id, now);
   }
-  for (const auto &[id, job] : m_state.jobs()) {
+  for (const auto& [id, job] : m_state.jobs()) {
     if (job.m_state != jobs::JobState::kActive) {
       StopRunsOfEndedJob(id, now);
     }
@@ -75,7 +79,7 @@
 
 void Dispatcher::StepDown() {
   m_epoch = 0;
-  for (const auto &[id, link] : m_links) {
+  for (const auto& [id, link] : m_links) {
     m_unused_addresses.push_back(link.m_address);
   }
   m_links.clear();
@@ -95,25 +99,26 @@
   return std::exchange(m_unused_addresses, {});
 }
 
-const RunnerLink *Dispatcher::FindLink(const std::string &runner) const {
+const RunnerLink* Dispatcher::FindLink(const std::string& runner) const {
   const auto link = m_links.find(runner);
   return link == m_links.end() ? nullptr : &link->second;
 }
 
-bool Dispatcher::IsUsable(const std::string &runner, Instant now) const {
-  const RunnerLink *const link = FindLink(runner);
-  return link != nullptr && link->m_fenced && !link->m_removal_proposed &&
-         !link->m_is_leaving && !link->m_leases_expired &&
+bool Dispatcher::IsUsable(const std::string& runner, Instant now) const {
+  const RunnerLink* const link = FindLink(runner);
+  return link != nullptr && link->m_fenced && link->m_clock_ms != 0 &&
+         !link->m_removal_proposed && !link->m_is_leaving &&
+         !link->m_leases_expired &&
          link->m_consecutive_timeouts < kUnresponsiveTimeouts &&
          now >= link->m_backoff_until && !link->m_health.IsQuarantined(now);
 }
 
-void Dispatcher::SetTicket(const jobs::TaskKey &task, std::string ticket) {
+void Dispatcher::SetTicket(const jobs::TaskKey& task, std::string ticket) {
   m_tickets[task] = std::move(ticket);
 }
 
-void Dispatcher::RefreshLink(const std::string &id, Instant now) {
-  const jobs::Runner *const runner = m_state.FindRunner(id);
+void Dispatcher::RefreshLink(const std::string& id, Instant now) {
+  const jobs::Runner* const runner = m_state.FindRunner(id);
   const auto known = m_links.find(id);
   if (known != m_links.end() &&
       (runner == nullptr ||
@@ -129,7 +134,7 @@
     known->second.m_address = runner->m_record.address;
     return;
   }
-  RunnerLink &link = m_links[id];
+  RunnerLink& link = m_links[id];
   link = RunnerLink();
   link.m_born_ms = runner->m_record.born_ms;
   link.m_address = runner->m_record.address;
@@ -141,8 +146,8 @@
     link.m_inherited_leases_expire =
         now + m_options.m_owner_overlap + longest + kExpiryMargin;
   }
-  for (const auto &[task, run] : runner->m_assigned) {
-    TrackedRun &tracked = link.m_tracked_runs[task];
+  for (const auto& [task, run] : runner->m_assigned) {
+    TrackedRun& tracked = link.m_tracked_runs[task];
     AddTrial(link, task);
     tracked.m_run = run;
     tracked.m_state = TrackedRunState::kInherited;
@@ -151,7 +156,7 @@
   }
 }
 
-Instant Dispatcher::LeaseExpiry(const RunnerLink &link) const {
+Instant Dispatcher::LeaseExpiry(const RunnerLink& link) const {
   Instant expiry = link.m_inherited_leases_expire;
   if (link.m_expires_ms > link.m_clock_ms) {
     const Millis left(link.m_expires_ms - link.m_clock_ms);
@@ -162,8 +167,8 @@
   return expiry;
 }
 
-RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string &runner,
-                                RunnerLink &link, Instant now) const {
+RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string& runner,
+                                RunnerLink& link, Instant now) const {
   RunnerCall call;
   call.m_kind = kind;
   call.m_runner = runner;
@@ -185,11 +190,11 @@
   return call;
 }
 
-void Dispatcher::SendStart(const std::string &runner, RunnerLink &link,
-                           const jobs::TaskKey &task, TrackedRun &tracked,
+void Dispatcher::SendStart(const std::string& runner, RunnerLink& link,
+                           const jobs::TaskKey& task, TrackedRun& tracked,
                            Instant now) {
-  const jobs::Job *const job = m_state.FindJob(task.m_job);
-  const jobs::Task *const state =
+  const jobs::Job* const job = m_state.FindJob(task.m_job);
+  const jobs::Task* const state =
       job == nullptr ? nullptr : job->FindTask(task);
   if (state == nullptr) {
     return;
@@ -206,19 +211,19 @@
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::SendStop(const std::string &runner, RunnerLink &link,
-                          const jobs::RunKey &run, Instant now) {
+void Dispatcher::SendStop(const std::string& runner, RunnerLink& link,
+                          const jobs::RunKey& run, Instant now) {
   RunnerCall call = MakeCall(CallKind::kStop, runner, link, now);
   call.m_run = run;
-  const jobs::Job *const job = m_state.FindJob(run.m_task.m_job);
+  const jobs::Job* const job = m_state.FindJob(run.m_task.m_job);
   call.m_job_name =
       job == nullptr ? jobs::JobIdText(run.m_task.m_job) : job->m_spec.id;
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::SendHold(const std::string &runner, RunnerLink &link,
+void Dispatcher::SendHold(const std::string& runner, RunnerLink& link,
                           Instant now) {
-  const jobs::Runner *const known = m_state.FindRunner(runner);
+  const jobs::Runner* const known = m_state.FindRunner(runner);
   if (known == nullptr) {
     return;
   }
@@ -233,7 +238,7 @@
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::Throttle(const std::string &runner, const jobs::TaskKey &task,
+void Dispatcher::Throttle(const std::string& runner, const jobs::TaskKey& task,
                           std::uint32_t percent, Instant now) {
   const auto link = m_links.find(runner);
   if (!leading() || link == m_links.end()) {
@@ -246,14 +251,14 @@
   }
   RunnerCall call = MakeCall(CallKind::kThrottle, runner, link->second, now);
   call.m_run = {task, tracked->second.m_run};
-  const jobs::Job *const job = m_state.FindJob(task.m_job);
+  const jobs::Job* const job = m_state.FindJob(task.m_job);
   call.m_job_name = job == nullptr ? "" : job->m_spec.id;
   call.m_percent = percent;
   tracked->second.m_throttle_percent = percent;
   m_calls.push_back(std::move(call));
 }
 
-void Dispatcher::StopRun(const std::string &runner, const jobs::TaskKey &task,
+void Dispatcher::StopRun(const std::string& runner, const jobs::TaskKey& task,
                          Instant now) {
   const auto link = m_links.find(runner);
   if (link == m_links.end()) {
@@ -272,16 +277,16 @@
 }
 
 void Dispatcher::StopRunsOfEndedJob(jobs::JobId id, Instant now) {
-  const jobs::Job *const job = m_state.FindJob(id);
+  const jobs::Job* const job = m_state.FindJob(id);
   if (job == nullptr) {
     return;
   }
-  for (const auto &[number, occurrence] : job->m_occurrences) {
+  for (const auto& [number, occurrence] : job->m_occurrences) {
     for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
       if (occurrence.m_steps[step].m_assigned == 0) {
         continue;
       }
-      const auto &tasks = occurrence.m_steps[step].m_tasks;
+      const auto& tasks = occurrence.m_steps[step].m_tasks;
       for (std::size_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].m_state == jobs::TaskState::kAssigned) {
           StopRun(tasks[index].m_runner,
@@ -294,7 +299,7 @@
   }
 }
 
-bool Dispatcher::StopTracking(RunnerLink &link, const jobs::RunKey &run) {
+bool Dispatcher::StopTracking(RunnerLink& link, const jobs::RunKey& run) {
   const auto tracked = link.m_tracked_runs.find(run.m_task);
   if (tracked == link.m_tracked_runs.end() ||
       tracked->second.m_run != run.m_run) {
@@ -305,7 +310,7 @@
   return true;
 }
 
-void Dispatcher::OnApplied(const jobs::ApplyResult &applied, Instant now) {
+void Dispatcher::OnApplied(const jobs::ApplyResult& applied, Instant now) {
   if (!leading()) {
     return;
   }
@@ -315,13 +320,13 @@
   }
   const auto found = m_links.find(applied.m_runner);
   if (found != m_links.end()) {
-    RunnerLink &link = found->second;
+    RunnerLink& link = found->second;
     if (applied.m_kind == wire::WorkBody::EndRuns) {
       link.m_ends_proposed = false;
       link.m_next_hold = std::min(link.m_next_hold, now);
     }
-    for (const jobs::RunKey &run : applied.m_assigned) {
-      TrackedRun &tracked = link.m_tracked_runs[run.m_task];
+    for (const jobs::RunKey& run : applied.m_assigned) {
+      TrackedRun& tracked = link.m_tracked_runs[run.m_task];
       tracked = TrackedRun();
       AddTrial(link, run.m_task);
       tracked.m_run = run.m_run;
@@ -341,7 +346,7 @@
       }
     }
   }
-  for (const jobs::RunKey &run : applied.m_ended) {
+  for (const jobs::RunKey& run : applied.m_ended) {
     const bool tracked_here =
         found != m_links.end() && StopTracking(found->second, run);
     // When one member of a gang is done, the runs of the others end too; they
@@ -362,7 +367,7 @@
   if (!leading()) {
     return;
   }
-  for (auto &[runner, link] : m_links) {
+  for (auto& [runner, link] : m_links) {
     if (!link.m_removal_proposed) {
       TickLink(runner, link, now);
     }
@@ -374,8 +379,8 @@
     return false;
   }
   const bool needed =
-      std::any_of(m_links.begin(), m_links.end(), [](const auto &item) {
-        const RunnerLink &link = item.second;
+      std::any_of(m_links.begin(), m_links.end(), [](const auto& item) {
+        const RunnerLink& link = item.second;
         return link.m_silent_since != Instant() && !link.m_removal_proposed &&
                !link.m_leases_expired && !link.m_tracked_runs.empty();
       });
@@ -386,7 +391,7 @@
   return needed;
 }
 
-void Dispatcher::OnEndListed(const std::string &runner, Instant requested_at,
+void Dispatcher::OnEndListed(const std::string& runner, Instant requested_at,
                              bool crashed, Instant now) {
   const auto link = m_links.find(runner);
   if (leading() && link != m_links.end() &&
@@ -398,14 +403,14 @@
   }
 }
 
-void Dispatcher::OnLeaving(const std::string &runner, std::uint64_t born_ms,
+void Dispatcher::OnLeaving(const std::string& runner, std::uint64_t born_ms,
                            Instant now) {
   const auto found = m_links.find(runner);
   if (!leading() || found == m_links.end() ||
       (born_ms != 0 && born_ms != found->second.m_born_ms)) {
     return;
   }
-  RunnerLink &link = found->second;
+  RunnerLink& link = found->second;
   if (!link.m_is_leaving) {
     link.m_is_leaving = true;
     EventLine(Event::kRunnerLeaving)
@@ -416,25 +421,25 @@
   EmptyLeavingRunner(runner, link, now);
 }
 
-void Dispatcher::EmptyLeavingRunner(const std::string &runner, RunnerLink &link,
+void Dispatcher::EmptyLeavingRunner(const std::string& runner, RunnerLink& link,
                                     Instant now) {
   if (link.m_tracked_runs.empty()) {
     ProposeRemoval(runner, link, RemovalCause::kLeft, now);
     return;
   }
   std::vector<jobs::TaskKey> tasks;
-  for (const auto &[task, run] : link.m_tracked_runs) {
+  for (const auto& [task, run] : link.m_tracked_runs) {
     tasks.push_back(task);
   }
-  for (const jobs::TaskKey &task : tasks) {
+  for (const jobs::TaskKey& task : tasks) {
     StopRun(runner, task, now);
   }
 }
 
-bool Dispatcher::HasSuccessor(const std::string &runner,
-                              const RunnerLink &link) const {
-  const jobs::Runner *const known = m_state.FindRunner(runner);
-  const jobs::Runner *const latest =
+bool Dispatcher::HasSuccessor(const std::string& runner,
+                              const RunnerLink& link) const {
+  const jobs::Runner* const known = m_state.FindRunner(runner);
+  const jobs::Runner* const latest =
       known == nullptr || known->m_record.machine.empty()
           ? nullptr
           : m_state.FindLatestRunnerOfMachine(known->m_record.machine);
@@ -442,7 +447,7 @@
          latest->m_record.born_ms > link.m_born_ms;
 }
 
-void Dispatcher::TickLink(const std::string &runner, RunnerLink &link,
+void Dispatcher::TickLink(const std::string& runner, RunnerLink& link,
                           Instant now) {
   if (link.m_silent_since != Instant() && HasSuccessor(runner, link)) {
     ProposeRemoval(runner, link, RemovalCause::kSuccessor, now);
@@ -463,7 +468,7 @@
   if (unresponsive && !link.m_leases_expired && now >= LeaseExpiry(link)) {
     link.m_leases_expired = true;
     std::vector<jobs::RunKey> runs;
-    for (const auto &[task, tracked] : link.m_tracked_runs) {
+    for (const auto& [task, tracked] : link.m_tracked_runs) {
       runs.push_back({task, tracked.m_run});
     }
     EventLine(Event::kRunnerLapsed, Severity::kWarning)
@@ -472,7 +477,7 @@
         .Field("silent_ms", ToMillis(now - link.m_last_answer));
     ProposeLostRuns(runner, link, runs, "lapsed");
   }
-  for (auto &[task, tracked] : link.m_tracked_runs) {
+  for (auto& [task, tracked] : link.m_tracked_runs) {
     if (tracked.m_call_in_flight || now < tracked.m_next_attempt ||
         tracked.m_state == TrackedRunState::kEndProposed) {
       continue;
@@ -489,14 +494,14 @@
   }
 }
 
-void Dispatcher::ProposeLostRuns(const std::string &runner, RunnerLink &link,
-                                 const std::vector<jobs::RunKey> &runs,
+void Dispatcher::ProposeLostRuns(const std::string& runner, RunnerLink& link,
+                                 const std::vector<jobs::RunKey>& runs,
                                  std::string_view cause) {
   wire::EndRunsT ends;
   ends.runner = runner;
   ends.born_ms = link.m_born_ms;
-  for (const jobs::RunKey &run : runs) {
-    TrackedRun &tracked = link.m_tracked_runs[run.m_task];
+  for (const jobs::RunKey& run : runs) {
+    TrackedRun& tracked = link.m_tracked_runs[run.m_task];
     if (tracked.m_state == TrackedRunState::kEndProposed) {
       continue;
     }
@@ -515,14 +520,14 @@
   }
 }
 
-void Dispatcher::OnAnswer(const RunnerCall &call, const RunnerAnswer &answer,
+void Dispatcher::OnAnswer(const RunnerCall& call, const RunnerAnswer& answer,
                           Instant now) {
   const auto found = m_links.find(call.m_runner);
   if (!leading() || call.m_epoch != m_epoch || found == m_links.end() ||
       found->second.m_born_ms != call.m_born_ms) {
     return;
   }
-  RunnerLink &link = found->second;
+  RunnerLink& link = found->second;
   if (answer.m_kind == AnswerKind::kOtherIncarnation ||
       (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms)) {
     const auto tracked = link.m_tracked_runs.find(call.m_run.m_task);
@@ -563,8 +568,8 @@
   }
 }
 
-void Dispatcher::OnSilence(const RunnerCall &call, const RunnerAnswer &answer,
-                           RunnerLink &link, Instant now) {
+void Dispatcher::OnSilence(const RunnerCall& call, const RunnerAnswer& answer,
+                           RunnerLink& link, Instant now) {
   // A hold that is kept open breaks as soon as the runner's process ends.
   if (answer.m_kind == AnswerKind::kNoAnswer &&
       call.m_kind == CallKind::kHold && link.m_consecutive_timeouts == 0 &&
@@ -589,14 +594,14 @@
   }
 }
 
-void Dispatcher::OnStart(const RunnerCall &call, const RunnerAnswer &answer,
-                         RunnerLink &link, Instant now) {
+void Dispatcher::OnStart(const RunnerCall& call, const RunnerAnswer& answer,
+                         RunnerLink& link, Instant now) {
   const auto found = link.m_tracked_runs.find(call.m_run.m_task);
   if (found == link.m_tracked_runs.end() ||
       found->second.m_run != call.m_run.m_run) {
     return;
   }
-  TrackedRun &tracked = found->second;
+  TrackedRun& tracked = found->second;
   tracked.m_call_in_flight = false;
   tracked.m_confirmed_at = now;
   if (answer.m_kind == AnswerKind::kOk) {
@@ -652,14 +657,14 @@
   }
 }
 
-void Dispatcher::OnStop(const RunnerCall &call, const RunnerAnswer &answer,
-                        RunnerLink &link, Instant now) {
+void Dispatcher::OnStop(const RunnerCall& call, const RunnerAnswer& answer,
+                        RunnerLink& link, Instant now) {
   const auto found = link.m_tracked_runs.find(call.m_run.m_task);
   if (found == link.m_tracked_runs.end() ||
       found->second.m_run != call.m_run.m_run) {
     return;
   }
-  TrackedRun &tracked = found->second;
+  TrackedRun& tracked = found->second;
   tracked.m_call_in_flight = false;
   if (answer.m_kind == AnswerKind::kOk ||
       answer.m_kind == AnswerKind::kStaleRun) {
@@ -671,8 +676,8 @@
   }
 }
 
-void Dispatcher::OnHold(const RunnerCall &call, const RunnerAnswer &answer,
-                        RunnerLink &link, Instant now) {
+void Dispatcher::OnHold(const RunnerCall& call, const RunnerAnswer& answer,
+                        RunnerLink& link, Instant now) {
   link.m_hold_in_flight = false;
   if (answer.m_kind != AnswerKind::kOk) {
     link.m_next_hold = now + m_options.m_retry_delay;
@@ -696,10 +701,10 @@
   ReconcileRunList(call, answer, link, now);
 }
 
-void Dispatcher::ReconcileRunList(const RunnerCall &call,
-                                  const RunnerAnswer &answer, RunnerLink &link,
+void Dispatcher::ReconcileRunList(const RunnerCall& call,
+                                  const RunnerAnswer& answer, RunnerLink& link,
                                   Instant now) {
-  for (const ReportedRun &row : answer.m_running) {
+  for (const ReportedRun& row : answer.m_running) {
     const auto tracked = link.m_tracked_runs.find(row.m_run.m_task);
     if (tracked == link.m_tracked_runs.end() ||
         tracked->second.m_run != row.m_run.m_run) {
@@ -723,11 +728,19 @@
   ends.runner = call.m_runner;
   ends.born_ms = link.m_born_ms;
   ends.seen = call.m_last_recorded_end;
-  for (const ReportedEnd &row : answer.m_ended) {
+  std::uint64_t acknowledgeable = answer.m_acknowledgeable;
+  for (const ReportedEnd& row : answer.m_ended) {
     if (row.m_end_number <= call.m_last_recorded_end) {
       continue;
     }
+    if (row.m_end_number > call.m_last_recorded_end + kMaxEndNumberStep) {
+      acknowledgeable = std::min(acknowledgeable, ends.seen);
+      continue;
+    }
     ends.seen = std::max(ends.seen, row.m_end_number);
+    if (row.m_end_number <= link.m_last_processed_end) {
+      continue;
+    }
     const auto tracked = link.m_tracked_runs.find(row.m_run.m_task);
     if (tracked == link.m_tracked_runs.end() ||
         tracked->second.m_run != row.m_run.m_run) {
@@ -755,16 +768,25 @@
   if (answer.m_ended.empty()) {
     StopStalled(call.m_runner, link, now);
   }
-  if (ends.seen > call.m_last_recorded_end) {
+  link.m_last_processed_end = std::max(link.m_last_processed_end, ends.seen);
+  const bool has_odd_end =
+      ends.seen > acknowledgeable || acknowledgeable != kAllEnds;
+  ends.seen =
+      std::max(call.m_last_recorded_end, std::min(ends.seen, acknowledgeable));
+  if (ends.seen > call.m_last_recorded_end || !ends.ends.empty()) {
     link.m_ends_proposed = true;
     link.m_next_hold = now + m_options.m_end_batch_delay;
     m_commands.emplace_back().Set(std::move(ends));
+  } else if (has_odd_end) {
+    // A runner with an end that is not acknowledged answers at once.
+    link.m_next_hold = now + m_options.m_retry_delay;
   }
-  if (answer.m_ended.size() >= kMaxListedEnds) {
+  if (answer.m_is_running_incomplete ||
+      answer.m_ended.size() >= kMaxListedEnds) {
     return;  // The ends that are missing may be in the next list.
   }
   std::vector<jobs::RunKey> lost;
-  for (const auto &[task, tracked] : link.m_tracked_runs) {
+  for (const auto& [task, tracked] : link.m_tracked_runs) {
     const bool in_run_list =
         tracked.m_reported_at == now && tracked.m_confirmed_at <= now;
     if (in_run_list || tracked.m_state == TrackedRunState::kEndProposed ||
@@ -785,16 +807,16 @@
 
 // Limits the quarantine to a share of the pool, so that jobs that fail on every
 // runner cannot make the whole pool unusable.
-void Dispatcher::Quarantine(const std::string &runner, RunnerLink &link,
-                            const char *cause, Instant now) {
-  const jobs::Runner *const known = m_state.FindRunner(runner);
+void Dispatcher::Quarantine(const std::string& runner, RunnerLink& link,
+                            const char* cause, Instant now) {
+  const jobs::Runner* const known = m_state.FindRunner(runner);
   if (known == nullptr || link.m_health.IsQuarantined(now)) {
     return;
   }
   std::size_t pool_runners = 0;
   std::size_t quarantined = 0;
-  for (const auto &[id, peer_link] : m_links) {
-    const jobs::Runner *const peer = m_state.FindRunner(id);
+  for (const auto& [id, peer_link] : m_links) {
+    const jobs::Runner* const peer = m_state.FindRunner(id);
     if (peer != nullptr && peer->m_record.pool == known->m_record.pool) {
       ++pool_runners;
       quarantined += peer_link.m_health.IsQuarantined(now) ? 1 : 0;
@@ -815,16 +837,16 @@
 // Stops runs without progress so that their tasks are assigned to other
 // runners. Gangs are skipped, because stopping one member ends the runs of all
 // members.
-void Dispatcher::StopStalled(const std::string &runner, RunnerLink &link,
+void Dispatcher::StopStalled(const std::string& runner, RunnerLink& link,
                              Instant now) {
   std::vector<jobs::TaskKey> stalled;
-  for (const auto &[task, tracked] : link.m_tracked_runs) {
+  for (const auto& [task, tracked] : link.m_tracked_runs) {
     if (tracked.m_state != TrackedRunState::kStarted ||
         tracked.m_stop_requested || tracked.m_reported_at != now ||
         now < tracked.m_progressed_at + m_options.m_stall_timeout) {
       continue;
     }
-    const wire::StepSpecT *const step = m_state.FindStep(task);
+    const wire::StepSpecT* const step = m_state.FindStep(task);
     // A best-effort task may legitimately get no CPU for a while.
     if (step != nullptr && !step->lasting && !step->gang && !step->fills &&
         now >= tracked.m_progressed_at +
@@ -839,7 +861,7 @@
   if (!link.m_health.IsQuarantined(now)) {
     return;
   }
-  for (const jobs::TaskKey &task : stalled) {
+  for (const jobs::TaskKey& task : stalled) {
     EventLine(Event::kRunStopped, Severity::kWarning)
         .Field("task", jobs::TaskText(task))
         .Field("runner", runner)
