--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -26,7 +26,11 @@
   std::uint32_t m_failures = 0;
   std::uint32_t m_run = 0;  // Number of the last run, 0: none; never decreases.
   std::string m_runner;     // Runner id of the last run.
-  std::string m_checkpoint;  // Last reported checkpoint; empty: none.
+  // Last reported checkpoint; empty: none. The same for all members of a gang.
+  std::string m_checkpoint;
+  // The one that the last run starts from, the same for all members of one run
+  // of a gang.
+  std::string m_start_checkpoint;
   // Crashes of runners that its runs may have caused, in the order of time.
   std::vector<RunnerCrash> m_crashes;
 };
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -138,6 +138,11 @@
                           ApplyResult& applied);
   // Updates the task's entry in m_suspects.
   void UpdateSuspects(const Job& job, const TaskKey& key);
+  // Records the checkpoint that the end of a run came with.
+  static void SetCheckpoint(Job& job, const TaskKey& key, wire::EndKind how,
+                            const std::string& checkpoint);
+  // The checkpoint that the run is to start from.
+  static std::string StartCheckpoint(const Job& job, const RunKey& run);
   // Updates task and job for a run that ended as done or failed. A lost or
   // stopped run and a long-running task need no update.
   void ApplyRunEnd(Job& job, const TaskKey& key, wire::EndKind how,
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -30,6 +30,7 @@
         task_image->run = task.m_run;
         task_image->runner = task.m_runner;
         task_image->checkpoint = task.m_checkpoint;
+        task_image->start_checkpoint = task.m_start_checkpoint;
         for (const RunnerCrash& crash : task.m_crashes) {
           auto crash_image = std::make_unique<wire::RunnerCrashT>();
           crash_image->runner = crash.m_runner;
@@ -58,6 +59,7 @@
       task.m_run = task_image->run;
       task.m_runner = task_image->runner;
       task.m_checkpoint = task_image->checkpoint;
+      task.m_start_checkpoint = task_image->start_checkpoint;
       for (const auto& crash : task_image->crashes) {
         task.m_crashes.push_back({crash->runner, crash->time_ms,
                                   crash->just_started, crash->only_suspect});
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -269,6 +269,7 @@
     }
     StepState& step = job.m_occurrences.at(run.m_task.m_occurrence)
                           .m_steps[run.m_task.m_step];
+    task->m_start_checkpoint = StartCheckpoint(job, run);
     task->m_state = TaskState::kAssigned;
     task->m_run = run.m_run;
     task->m_runner = assign.runner;
@@ -284,6 +285,19 @@
   applied.m_changed = !applied.m_assigned.empty();
 }
 
+std::string WorkState::StartCheckpoint(const Job& job, const RunKey& run) {
+  const StepState& step =
+      job.m_occurrences.at(run.m_task.m_occurrence).m_steps[run.m_task.m_step];
+  if (job.m_spec.steps[run.m_task.m_step]->gang) {
+    for (const Task& member : step.m_tasks) {
+      if (member.m_run == run.m_run) {
+        return member.m_start_checkpoint;  // Assigned before this one.
+      }
+    }
+  }
+  return step.m_tasks[run.m_task.m_index].m_checkpoint;
+}
+
 void WorkState::EndRuns(const wire::WorkBodyUnion& body, ApplyResult& applied) {
   const wire::EndRunsT& ends = *body.AsEndRuns();
   applied.m_runner = ends.runner;
@@ -333,7 +347,7 @@
   --step.m_assigned;
   ++step.m_waiting;
   if (!checkpoint.empty()) {
-    task->m_checkpoint = checkpoint;
+    SetCheckpoint(job, run.m_task, how, checkpoint);
   }
   if (job.m_state == JobState::kActive) {
     ApplyRunEnd(job, run.m_task, how, applied);
@@ -341,6 +355,26 @@
   }
 }
 
+// The checkpoint of any member of a gang is valid for all of them. That of a
+// lost run is the last one that its owner knew; one that was reported with the
+// end of another member is newer.
+void WorkState::SetCheckpoint(Job& job, const TaskKey& key, wire::EndKind how,
+                              const std::string& checkpoint) {
+  if (!job.m_spec.steps[key.m_step]->gang) {
+    job.FindTask(key)->m_checkpoint = checkpoint;
+    return;
+  }
+  StepState& step = job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step];
+  const Task& ended = step.m_tasks[key.m_index];
+  if (how == wire::EndKind::Lost &&
+      ended.m_checkpoint != ended.m_start_checkpoint) {
+    return;
+  }
+  for (Task& member : step.m_tasks) {
+    member.m_checkpoint = checkpoint;
+  }
+}
+
 void WorkState::ApplyRunEnd(Job& job, const TaskKey& key, wire::EndKind how,
                             ApplyResult& applied) {
   const wire::StepSpecT& spec = *job.m_spec.steps[key.m_step];
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -208,7 +208,7 @@
   call.m_run = {task, tracked.m_run};
   call.m_job_name = job->m_spec.id;
   call.m_spec = job->m_spec.spec;
-  call.m_checkpoint = state->m_checkpoint;
+  call.m_checkpoint = state->m_start_checkpoint;
   call.m_ticket = tracked.m_ticket;
   ++tracked.m_attempts;
   tracked.m_state = TrackedRunState::kStarting;
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(InvalidConfigurationsAreRejected);
   CPPUNIT_TEST(PeriodicJobOpensOccurrences);
   CPPUNIT_TEST(GangCompletesWithOneMember);
+  CPPUNIT_TEST(MembersOfAGangStartFromOneCheckpoint);
   CPPUNIT_TEST(RunnerBeforeAnUpkeepOutlivesTheSnapshot);
   CPPUNIT_TEST(TaskKeyTextRoundTrips);
   CPPUNIT_TEST(ImageRoundTripPreservesState);
@@ -354,6 +355,39 @@
     CPPUNIT_ASSERT(m_state->FindRunner("r")->m_used == Resources());
   }
 
+  // Guards against a gang whose members start with different checkpoints for
+  // good after a crash of one member's runner, and never come together.
+  void MembersOfAGangStartFromOneCheckpoint() {
+    wire::AcceptJobT accept = MakeJob(1, {2});
+    accept.job->steps[0]->gang = true;
+    Apply(std::move(accept));
+    RegisterRunner("s", 1);
+    const auto start_checkpoint = [&](std::uint16_t index) {
+      return m_state->FindJob(1)
+          ->FindTask({1, 0, 0, index})
+          ->m_start_checkpoint;
+    };
+    AssignRuns("r", {MakeRun(1, 0, 0, 1)});
+    AssignRuns("s", {MakeRun(1, 0, 1, 1)});
+    RecordEnd("s", MakeRun(1, 0, 1, 1), wire::EndKind::Broken, 1, "new");
+    // The owner knew an earlier value of the member that was lost.
+    RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0, "old");
+    AssignRuns("r", {MakeRun(1, 0, 0, 2)});
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), start_checkpoint(0));
+    // A member may end before the others are assigned.
+    RecordEnd("r", MakeRun(1, 0, 0, 2), wire::EndKind::Stopped, 1, "newer");
+    WorkState copy;
+    CPPUNIT_ASSERT(copy.Load(m_state->Image()));
+    AssignRuns("s", {MakeRun(1, 0, 1, 2)});
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), start_checkpoint(1));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("new"),
+        copy.FindJob(1)->FindTask({1, 0, 0, 0})->m_start_checkpoint);
+    RecordEnd("s", MakeRun(1, 0, 1, 2), wire::EndKind::Lost, 1);
+    AssignRuns("s", {MakeRun(1, 0, 1, 3)});
+    CPPUNIT_ASSERT_EQUAL(std::string("newer"), start_checkpoint(1));
+  }
+
   void TaskKeyTextRoundTrips() {
     const TaskKey task = {0x5c0e7a21d94b36f8, 3, 1, 17};
     CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.3.1.17"),
