--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -175,6 +175,8 @@
                 const jobs::RunKey& run, Instant now);
   void SendHold(const std::string& runner, RunnerLink& link, Instant now);
   void TickLink(const std::string& runner, RunnerLink& link, Instant now);
+  void HandleByKind(const RunnerCall& call, const RunnerAnswer& answer,
+                    RunnerLink& link, Instant now);
   void OnStart(const RunnerCall& call, const RunnerAnswer& answer,
                RunnerLink& link, Instant now);
   void OnStop(const RunnerCall& call, const RunnerAnswer& answer,
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -398,10 +398,9 @@
         return link.m_silent_since != Instant() && !link.m_removal_proposed &&
                !link.m_leases_expired && !link.m_tracked_runs.empty();
       });
-  if (needed) {
-    m_next_inventory = now + m_inventory_pause;
-    m_inventory_pause = std::min(m_inventory_pause * 2, kMaxInventoryPause);
-  }
+  // Without need the links are not looked through again until a call fails.
+  m_next_inventory = needed ? now + m_inventory_pause : Instant::max();
+  m_inventory_pause = std::min(m_inventory_pause * 2, kMaxInventoryPause);
   return needed;
 }
 
@@ -564,6 +563,12 @@
       link.m_clock_read_at = now;
     }
   }
+  HandleByKind(call, answer, link, now);
+}
+
+void Dispatcher::HandleByKind(const RunnerCall& call,
+                              const RunnerAnswer& answer, RunnerLink& link,
+                              Instant now) {
   switch (call.m_kind) {
     case CallKind::kStart:
       OnStart(call, answer, link, now);
@@ -594,10 +599,15 @@
     ProposeRemoval(call.m_runner, link, RemovalCause::kOtherAnswer, now);
     return;
   }
-  if (call.m_kind == CallKind::kHold) {
-    link.m_hold_in_flight = false;
-    link.m_next_hold = now + m_options.m_retry_delay;
+  if (call.m_kind != CallKind::kHold) {
+    // Only a run list shows what runs there.
+    link.m_is_superseded = true;
+    link.m_next_hold = std::min(link.m_next_hold, now);
+    HandleByKind(call, answer, link, now);
+    return;
   }
+  link.m_hold_in_flight = false;
+  link.m_next_hold = now + m_options.m_retry_delay;
   // An earlier incarnation that answers again and again shows that the
   // registered start time is not that of the runner.
   if (answer.m_born_ms < link.m_born_ms &&
@@ -663,7 +673,11 @@
     link.m_alive_until = now;
   }
   ++link.m_consecutive_timeouts;
-  if (link.m_silent_since == Instant()) {
+  if (link.m_silent_since != Instant()) {
+    m_next_inventory = m_next_inventory == Instant::max()
+                           ? now + m_inventory_pause
+                           : m_next_inventory;
+  } else {
     link.m_silent_since = now;
     m_next_inventory = std::min(m_next_inventory, now + kMinInventoryPause);
     m_inventory_pause = kMinInventoryPause;
@@ -780,6 +794,7 @@
   // The first hold grants no lease because the runner's clock has not been read
   // yet; a hold to an unresponsive runner grants none either.
   const bool gave_lease = call.m_expires_ms != 0;
+  link.m_is_superseded = false;
   link.m_fenced = true;
   link.m_leases_expired = false;
   link.m_next_hold = link.m_tracked_runs.empty() && gave_lease
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -157,6 +157,8 @@
          {row("odd", nested),
           row("odd", std::string(60, '[') + "1" + std::string(60, ']')),
           row("odd", "[1e999]"), row("odd", "[\"\xff\"]"), row("odd", "[nul]"),
+          std::string(R"({"machine":"odd","pool":"p","state":"dancing"})"),
+          std::string(R"({"machine":"odd","state":"up"})"),
           row("odd", "{\"a\":\"\\\"]\"}"), std::string("7"),
           std::string("\"x\"")}) {
       std::vector<fleet::Machine> machines;
