--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(DecodesAHoldResponse);
   CPPUNIT_TEST(UnreadableRunEndIsNotAcknowledged);
   CPPUNIT_TEST(MapsEveryRejectionStatusAndReason);
+  CPPUNIT_TEST(StatusOfAGatewayIsNoAnswerOfTheRunner);
   CPPUNIT_TEST(ReadsSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -307,6 +308,25 @@
     CPPUNIT_ASSERT(kind(400, "") == runs::AnswerKind::kInvalid);
   }
 
+  // Guards against a start that is taken for rejected because a gateway answered
+  // for a runner that had carried it out (TWICE).
+  void StatusOfAGatewayIsNoAnswerOfTheRunner() {
+    for (const runs::CallKind call_kind :
+         {runs::CallKind::kStart, runs::CallKind::kStop,
+          runs::CallKind::kHold}) {
+      runs::RunnerCall call;
+      call.m_kind = call_kind;
+      for (const unsigned status : {404U, 408U, 500U, 502U, 504U}) {
+        CPPUNIT_ASSERT(m_codec.Decode(call, MakeResponse(status, "")).m_kind ==
+                       runs::AnswerKind::kNoAnswer);
+      }
+      for (const char* const body : {"", R"({"reason":"conflict"})"}) {
+        CPPUNIT_ASSERT(m_codec.Decode(call, MakeResponse(409, body)).m_kind ==
+                       runs::AnswerKind::kNoAnswer);
+      }
+    }
+  }
+
   void ReadsSettings() {
     const ScratchFolder folder;
     const std::string path = folder.path() + "/node.yaml";
