Prove the end of a runner by an answer of the next one, not by start times

Cause: a later start time on the same machine was taken for a later life. Change: the other runner must have answered a hold that was sent after this one's last answer; lives of a machine follow each other.

LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner took a registration alone for the proof, which is the fault; it now also asserts that nothing is removed before the answer, and that the removal follows it at once.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -196,7 +196,8 @@
   // Stops the runs of a runner that leaves, and removes it when it has none.
   void EmptyLeavingRunner(const std::string& runner, RunnerLink& link,
                           Instant now);
-  // Whether the machine of a silent runner has started a later runner.
+  // Whether another runner of its machine was up after this one last answered.
+  // The order of their start times does not show it: clocks are set back.
   bool HasSuccessor(const std::string& runner, const RunnerLink& link) const;
   void ReconcileRunList(const RunnerCall& call, const RunnerAnswer& answer,
                         RunnerLink& link, Instant now);
@@ -214,6 +215,12 @@
   /** @return whether exactly this run was tracked. */
   static bool StopTracking(RunnerLink& link, const jobs::RunKey& run);
 
+  /** The runner was up at some time after the call was sent. */
+  struct SignOfLife {
+    std::string m_runner;
+    Instant m_call_sent;
+  };
+
   const jobs::WorkState& m_state;
   DispatcherOptions m_options;
   std::function<bool(const jobs::Runner&)> m_is_down_as_requested;
@@ -221,6 +228,8 @@
   std::uint64_t m_epoch = 0;  // Fencing token; 0: not the owner.
   // One per registered runner. Looked up for each candidate of each plan.
   std::unordered_map<std::string, RunnerLink> m_links;
+  // By machine, its runner that last answered a hold.
+  std::unordered_map<std::string, SignOfLife> m_signs_of_life;
   std::unordered_map<jobs::TaskKey, std::string> m_tickets;
   std::vector<RunnerCall> m_calls;
   std::vector<wire::WorkBodyUnion> m_commands;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -67,6 +67,7 @@
 void Dispatcher::BecomeLeader(std::uint64_t epoch, Instant now) {
   m_epoch = epoch;
   m_links.clear();
+  m_signs_of_life.clear();
   m_tickets.clear();
   m_calls.clear();
   m_commands.clear();
@@ -452,12 +453,11 @@
 bool Dispatcher::HasSuccessor(const std::string& runner,
                               const RunnerLink& link) const {
   const jobs::Runner* const known = m_state.FindRunner(runner);
-  const jobs::Runner* const latest =
-      known == nullptr || known->m_record.machine.empty()
-          ? nullptr
-          : m_state.FindLatestRunnerOfMachine(known->m_record.machine);
-  return latest != nullptr && latest->m_record.id != runner &&
-         latest->m_record.born_ms > link.m_born_ms;
+  const auto sign = known == nullptr
+                        ? m_signs_of_life.end()
+                        : m_signs_of_life.find(known->m_record.machine);
+  return sign != m_signs_of_life.end() && sign->second.m_runner != runner &&
+         sign->second.m_call_sent >= link.m_last_answer;
 }
 
 void Dispatcher::TickLink(const std::string& runner, RunnerLink& link,
@@ -791,6 +791,10 @@
         .Field("running", answer.m_running.size())
         .Field("ended", answer.m_ended.size());
   }
+  const jobs::Runner* const known = m_state.FindRunner(call.m_runner);
+  if (known != nullptr && !known->m_record.machine.empty()) {
+    m_signs_of_life[known->m_record.machine] = {call.m_runner, call.m_sent};
+  }
   // The first hold grants no lease because the runner's clock has not been read
   // yet; a hold to an unresponsive runner grants none either.
   const bool gave_lease = call.m_expires_ms != 0;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(RefusedConnectionsDoNotEndRunsBeforeTheLease);
   CPPUNIT_TEST(ListedEndEndsTheRunsOfASilentRunner);
   CPPUNIT_TEST(LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner);
+  CPPUNIT_TEST(RunnerOutlivesAnEarlierOneWithALaterStartTime);
   CPPUNIT_TEST(RunAssignedBeforeARemovalIsNotStarted);
   CPPUNIT_TEST(StartWithoutAnAnswerIsNoEvidenceOfACrash);
   CPPUNIT_TEST(InterruptedStartIsEvidenceOfACrash);
@@ -279,19 +280,45 @@
   // A runner is one life of its machine.
   void LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner() {
     Assign(1, 1, RunnerId(0));
-    wire::RegisterRunnerT next;
-    next.runner = std::make_unique<wire::RunnerRecordT>(
-        m_state->FindRunner(RunnerId(0))->m_record);
-    next.runner->id = "next";
-    next.runner->born_ms = kBornMs + 1;
-    Apply(std::move(next));
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kRefused);
+    RegisterAtMachineOfFirstRunner("next", kBornMs + 1);
     m_dispatcher->Tick(m_now);
     CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+    AnswerHold("next", kBornMs + 1);
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeRemoval().new_runs.size());
+  }
+
+  // Guards against one failed call that ends all runs of a working runner: the
+  // earlier runner of its machine is still registered, and the time of day was
+  // set back between them (TWICE).
+  void RunnerOutlivesAnEarlierOneWithALaterStartTime() {
+    Assign(1, 2, RunnerId(0));
+    RegisterAtMachineOfFirstRunner("earlier", kBornMs + 1);
     m_now += Millis(10);
     m_dispatcher->Tick(m_now);
     AnswerFirstRunner(AnswerKind::kRefused);
     m_dispatcher->Tick(m_now);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeRemoval().new_runs.size());
+    CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+    // An answer to a call that was sent while the first runner still answered
+    // shows nothing either.
+    setUp();
+    Assign(1, 2, RunnerId(0));
+    ReportRunning(1, 2, 1);
+    RegisterAtMachineOfFirstRunner("earlier", kBornMs + 1);
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    std::vector<RunnerCall> calls = m_dispatcher->TakeOutgoingCalls();
+    m_now += Millis(10);
+    Answer(calls, RunnerId(0), kBornMs);
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kRefused);
+    Answer(calls, "earlier", kBornMs + 1);
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
   }
 
   // Guards against a start that reaches a runner after its removal was
@@ -745,6 +772,37 @@
     }
   }
 
+  void RegisterAtMachineOfFirstRunner(const std::string& id,
+                                      std::uint64_t born_ms) {
+    wire::RegisterRunnerT other;
+    other.runner = std::make_unique<wire::RunnerRecordT>(
+        m_state->FindRunner(RunnerId(0))->m_record);
+    other.runner->id = id;
+    other.runner->born_ms = born_ms;
+    Apply(std::move(other));
+  }
+
+  // Answers the open holds among the calls for this runner; the first runner
+  // lists the runs of ReportRunning.
+  void Answer(const std::vector<RunnerCall>& calls, const std::string& runner,
+              std::uint64_t born_ms) {
+    RunnerAnswer answer;
+    answer.m_kind = AnswerKind::kOk;
+    answer.m_born_ms = born_ms;
+    answer.m_clock_ms = 1 + ToMillis(m_now.time_since_epoch());
+    if (runner == RunnerId(0)) {
+      answer.m_running = m_running;
+    }
+    for (const RunnerCall& call : calls) {
+      if (call.m_runner == runner && call.m_kind == CallKind::kHold) {
+        m_dispatcher->OnAnswer(call, answer, m_now);
+      }
+    }
+  }
+  void AnswerHold(const std::string& runner, std::uint64_t born_ms) {
+    Answer(m_dispatcher->TakeOutgoingCalls(), runner, born_ms);
+  }
+
   // @return the removal that results when the first runner refuses connections
   // and the platform lists its machine as down
   wire::RemoveRunnerT CrashFirstRunner() {
