Count the runs that are ended as lost by their cause

The leader's log did name one; the metrics, which are read during an incident, did not. bronzebarrow_runs_lost_total has the cause of the log line as a label, on the member that leads; docs/OPERATIONS.md says how to read it. Decisions don't change.

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -108,6 +108,8 @@
   }
   std::vector<fleet::MachineRequest> TakeRequests();
   std::vector<wire::WorkBodyUnion> TakeCommands();
+  /** As Dispatcher::TakeLostRuns: runs that an upkeep or a move has ended. */
+  std::map<std::string, std::uint64_t> TakeLostRuns();
   /**
    * @return whether the machine inventory is to be read now; the next read is
    * then due after the listing interval.
@@ -203,6 +205,7 @@
   Instant m_next_log;
   std::vector<fleet::MachineRequest> m_requests;
   std::vector<wire::WorkBodyUnion> m_commands;
+  std::map<std::string, std::uint64_t> m_lost_runs;  // By cause; not yet taken.
 };
 
 }  // namespace bronzebarrow::node
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -118,6 +118,11 @@
   const jobs::WorkState& state() const { return m_state; }
   const runs::Dispatcher& dispatcher() const { return m_dispatcher; }
   std::uint64_t applied_index() const { return m_applied_index; }
+  /**
+   * @return the number of runs that this owner ended as lost since the last
+   * call, by the cause that its log names
+   */
+  std::map<std::string, std::uint64_t> TakeLostRuns();
   /**
    * @return how many tasks the applied commands have given up since the last
    * call because they crash runners; zero on a member that does not lead
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -130,6 +131,8 @@
 
   std::vector<RunnerCall> TakeOutgoingCalls();
   std::vector<wire::WorkBodyUnion> TakeCommands();
+  /** @return the number of runs ended as lost since the last call, by cause. */
+  std::map<std::string, std::uint64_t> TakeLostRuns();
   /** @return addresses that no runner of this owner uses any longer. */
   std::vector<std::string> TakeUnusedAddresses();
 
@@ -233,6 +236,7 @@
   std::unordered_map<jobs::TaskKey, std::string> m_tickets;
   std::vector<RunnerCall> m_calls;
   std::vector<wire::WorkBodyUnion> m_commands;
+  std::map<std::string, std::uint64_t> m_lost_runs;  // By cause; not yet taken.
   std::vector<std::string> m_unused_addresses;
   // When the inventory is read next if a runner is silent, and the pause after
   // that.
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -57,6 +57,10 @@
   return std::exchange(m_commands, {});
 }
 
+std::map<std::string, std::uint64_t> MachinePlanner::TakeLostRuns() {
+  return std::exchange(m_lost_runs, {});
+}
+
 // Until the platform accepts the request, no incarnation of the machine's
 // runner gets new work. Afterwards any but the removed incarnation does.
 bool MachinePlanner::AcceptsWork(const jobs::Runner& runner) const {
@@ -656,10 +660,14 @@
         .Field("why", "it may have started after the operation");
     return;
   }
+  const char* const cause = is_upkeep ? "upkeep" : "move";
   EventLine(Event::kRunnerRemoved)
       .Field("runner", ended.m_runner)
-      .Field("cause", is_upkeep ? "upkeep" : "move")
+      .Field("cause", cause)
       .Field("runs", runner->m_assigned.size());
+  if (!runner->m_assigned.empty()) {
+    m_lost_runs[cause] += runner->m_assigned.size();
+  }
   wire::RemoveRunnerT remove;
   remove.runner = ended.m_runner;
   remove.born_ms = ended.m_born_ms;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -249,6 +249,10 @@
   if (const std::uint64_t given_up = m_core->TakeTasksGivenUp()) {
     m_metrics.Count("bronzebarrow_tasks_given_up_total", "", given_up);
   }
+  for (const auto& [cause, runs] : m_core->TakeLostRuns()) {
+    m_metrics.Count("bronzebarrow_runs_lost_total", "cause=\"" + cause + "\"",
+                    runs);
+  }
   for (consensus::Outgoing& message : m_core->TakePeerMessages()) {
     wire::FrameT frame;
     frame.sender = m_id.m_name;
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -203,6 +203,12 @@
   return std::exchange(m_messages, {});
 }
 
+std::map<std::string, std::uint64_t> WorkCore::TakeLostRuns() {
+  std::map<std::string, std::uint64_t> lost = m_dispatcher.TakeLostRuns();
+  lost.merge(m_machine_planner.TakeLostRuns());
+  return lost;
+}
+
 std::vector<OutgoingReply> WorkCore::TakeReplies() {
   return std::exchange(m_replies, {});
 }
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -100,6 +100,10 @@
   return std::exchange(m_commands, {});
 }
 
+std::map<std::string, std::uint64_t> Dispatcher::TakeLostRuns() {
+  return std::exchange(m_lost_runs, {});
+}
+
 std::vector<std::string> Dispatcher::TakeUnusedAddresses() {
   return std::exchange(m_unused_addresses, {});
 }
@@ -521,6 +525,7 @@
     tracked.m_state = TrackedRunState::kEndProposed;
     ends.ends.push_back(
         MakeEnd(run, wire::EndKind::Lost, tracked.m_checkpoint));
+    ++m_lost_runs[std::string(cause)];
     EventLine(Event::kRunEnded)
         .Field("task", jobs::TaskText(run.m_task))
         .Field("run", run.m_run)
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -107,6 +107,9 @@
       .Field("draining", known != nullptr && known->m_record.draining)
       .Field("silent_ms", ToMillis(now - link.m_last_answer))
       .Field("runs", link.m_tracked_runs.size());
+  if (!link.m_tracked_runs.empty()) {
+    m_lost_runs[std::string(NameOf(cause))] += link.m_tracked_runs.size();
+  }
   for (const auto& [task, tracked] : link.m_tracked_runs) {
     EventLine(Event::kRunEnded)
         .Field("task", jobs::TaskText(task))
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -2,6 +2,7 @@
 // that fall silent, and that crash.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,7 @@
   CPPUNIT_TEST(OddEndNumberIsNotAcknowledged);
   CPPUNIT_TEST(RefusedStartIsNoSuspect);
   CPPUNIT_TEST(LapsedRunnerHasNotCrashed);
+  CPPUNIT_TEST(LostRunsAreCountedByCause);
   CPPUNIT_TEST(SuspectThatRanPastItsTrialIsCleared);
   CPPUNIT_TEST(JobsAreKeptApartOnlyWhileCrashesFollowStarts);
   CPPUNIT_TEST(RunnerTriesASuspectForItsTrialPeriod);
@@ -277,6 +279,15 @@
     }
   }
 
+  // The metric has to tell what ended the runs of a runner that is up.
+  void LostRunsAreCountedByCause() {
+    Assign(1, 3, RunnerId(0));
+    CrashFirstRunner();
+    CPPUNIT_ASSERT(m_dispatcher->TakeLostRuns() ==
+                   (std::map<std::string, std::uint64_t>{{"listed_down", 3}}));
+    CPPUNIT_ASSERT(m_dispatcher->TakeLostRuns().empty());
+  }
+
   // A runner is one life of its machine.
   void LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner() {
     Assign(1, 1, RunnerId(0));
@@ -676,6 +687,8 @@
       }
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lapsed);
+    CPPUNIT_ASSERT(m_dispatcher->TakeLostRuns() ==
+                   (std::map<std::string, std::uint64_t>{{"lapsed", 1}}));
     CPPUNIT_ASSERT(m_state->suspects().empty());
   }
 
