Take the answer of another runner for silence, not for the end of the runner

What callers would see: one answer 421 to any call ends all runs of a runner that works, and one plan starts them elsewhere.

Cause: 421 was taken for another runner at the address, which proves the end of the one before. A gateway answers it as well, and so does the holder of an address that the call still had from an earlier record. Change: it counts as a call without an answer; a runner at the address that has answered a hold sent after this one's last answer is the proof. A runner without runs is removed as before.

AnswerOfAnotherRunnerDoesNotEndRuns fails without the change: the removal is proposed at once.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -199,8 +199,9 @@
   // Stops the runs of a runner that leaves, and removes it when it has none.
   void EmptyLeavingRunner(const std::string& runner, RunnerLink& link,
                           Instant now);
-  // Whether another runner of its machine was up after this one last answered.
-  // The order of their start times does not show it: clocks are set back.
+  // Whether another runner of its machine or at its address was up after this
+  // one last answered. The order of their start times does not show it: clocks
+  // are set back.
   bool HasSuccessor(const std::string& runner, const RunnerLink& link) const;
   void ReconcileRunList(const RunnerCall& call, const RunnerAnswer& answer,
                         RunnerLink& link, Instant now);
@@ -223,6 +224,7 @@
     std::string m_runner;
     Instant m_call_sent;
   };
+  using SignsOfLife = std::unordered_map<std::string, SignOfLife>;
 
   const jobs::WorkState& m_state;
   DispatcherOptions m_options;
@@ -231,8 +233,9 @@
   std::uint64_t m_epoch = 0;  // Fencing token; 0: not the owner.
   // One per registered runner. Looked up for each candidate of each plan.
   std::unordered_map<std::string, RunnerLink> m_links;
-  // By machine, its runner that last answered a hold.
-  std::unordered_map<std::string, SignOfLife> m_signs_of_life;
+  // The runner that last answered a hold, by machine and by address.
+  SignsOfLife m_signs_by_machine;
+  SignsOfLife m_signs_by_address;
   std::unordered_map<jobs::TaskKey, std::string> m_tickets;
   std::vector<RunnerCall> m_calls;
   std::vector<wire::WorkBodyUnion> m_commands;
--- a/include/bronzebarrow/runs/runner_call.h
+++ b/include/bronzebarrow/runs/runner_call.h
@@ -51,7 +51,7 @@
   kNoTicket,          // The call lacks a valid ticket of the adviser.
   kUnhealthy,         // The runner is unhealthy and has not executed the call.
   kInvalid,           // The runner rejected the call as malformed.
-  kOtherIncarnation,  // Another incarnation answers at the address.
+  kOtherIncarnation,  // Not answered by this runner; another is at the address.
   kRefused,           // The connection was refused; the call was not sent.
   kNoAnswer,          // Timed out; the call may still be executed later.
 };
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -67,7 +67,8 @@
 void Dispatcher::BecomeLeader(std::uint64_t epoch, Instant now) {
   m_epoch = epoch;
   m_links.clear();
-  m_signs_of_life.clear();
+  m_signs_by_machine.clear();
+  m_signs_by_address.clear();
   m_tickets.clear();
   m_calls.clear();
   m_commands.clear();
@@ -456,12 +457,16 @@
 
 bool Dispatcher::HasSuccessor(const std::string& runner,
                               const RunnerLink& link) const {
+  const auto is_up_later = [&](const SignsOfLife& signs,
+                               const std::string& key) {
+    const auto sign = signs.find(key);
+    return sign != signs.end() && sign->second.m_runner != runner &&
+           sign->second.m_call_sent >= link.m_last_answer;
+  };
   const jobs::Runner* const known = m_state.FindRunner(runner);
-  const auto sign = known == nullptr
-                        ? m_signs_of_life.end()
-                        : m_signs_of_life.find(known->m_record.machine);
-  return sign != m_signs_of_life.end() && sign->second.m_runner != runner &&
-         sign->second.m_call_sent >= link.m_last_answer;
+  return known != nullptr &&
+         (is_up_later(m_signs_by_machine, known->m_record.machine) ||
+          is_up_later(m_signs_by_address, known->m_record.address));
 }
 
 void Dispatcher::TickLink(const std::string& runner, RunnerLink& link,
@@ -546,14 +551,14 @@
     return;
   }
   RunnerLink& link = found->second;
-  if (answer.m_kind == AnswerKind::kOtherIncarnation ||
-      (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms)) {
+  if (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms) {
     OnOtherIncarnation(call, answer, link, now);
     return;
   }
   link.m_earlier_answers = 0;
   if (answer.m_kind == AnswerKind::kNoAnswer ||
-      answer.m_kind == AnswerKind::kRefused) {
+      answer.m_kind == AnswerKind::kRefused ||
+      answer.m_kind == AnswerKind::kOtherIncarnation) {
     OnSilence(call, answer, link, now);
   } else {
     link.m_consecutive_timeouts = 0;
@@ -592,18 +597,6 @@
 void Dispatcher::OnOtherIncarnation(const RunnerCall& call,
                                     const RunnerAnswer& answer,
                                     RunnerLink& link, Instant now) {
-  if (answer.m_kind == AnswerKind::kOtherIncarnation) {
-    // A runner with another id has done nothing.
-    const auto tracked = link.m_tracked_runs.find(call.m_run.m_task);
-    if (call.m_kind == CallKind::kStart &&
-        tracked != link.m_tracked_runs.end() &&
-        tracked->second.m_run == call.m_run.m_run &&
-        tracked->second.m_attempts == 1) {
-      tracked->second.m_state = TrackedRunState::kRejected;
-    }
-    ProposeRemoval(call.m_runner, link, RemovalCause::kOtherAnswer, now);
-    return;
-  }
   if (call.m_kind != CallKind::kHold) {
     // Only a run list shows what runs there.
     link.m_is_superseded = true;
@@ -694,8 +687,12 @@
         .Field("runs", link.m_tracked_runs.size())
         .Field("age_ms", ToMillis(now - link.m_last_answer));
   }
-  if (answer.m_kind == AnswerKind::kRefused && link.m_tracked_runs.empty()) {
-    ProposeRemoval(call.m_runner, link, RemovalCause::kRefused, now);
+  if (answer.m_kind != AnswerKind::kNoAnswer && link.m_tracked_runs.empty()) {
+    ProposeRemoval(call.m_runner, link,
+                   answer.m_kind == AnswerKind::kRefused
+                       ? RemovalCause::kRefused
+                       : RemovalCause::kOtherAnswer,
+                   now);
   }
 }
 
@@ -732,6 +729,7 @@
         break;  // It was not sent.
       }
       [[fallthrough]];
+    case AnswerKind::kOtherIncarnation:
     case AnswerKind::kNoAnswer:
       tracked.m_next_attempt = now + m_options.m_retry_delay;
       if (tracked.m_attempts >= kMaxStartAttempts) {
@@ -797,8 +795,12 @@
         .Field("ended", answer.m_ended.size());
   }
   const jobs::Runner* const known = m_state.FindRunner(call.m_runner);
+  const SignOfLife sign = {call.m_runner, call.m_sent};
   if (known != nullptr && !known->m_record.machine.empty()) {
-    m_signs_of_life[known->m_record.machine] = {call.m_runner, call.m_sent};
+    m_signs_by_machine[known->m_record.machine] = sign;
+  }
+  if (!call.m_address.empty()) {
+    m_signs_by_address[call.m_address] = sign;
   }
   // The first hold grants no lease because the runner's clock has not been read
   // yet; a hold to an unresponsive runner grants none either.
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(ListedEndEndsTheRunsOfASilentRunner);
   CPPUNIT_TEST(LaterRunnerOfTheMachineEndsTheRunsOfASilentRunner);
   CPPUNIT_TEST(RunnerOutlivesAnEarlierOneWithALaterStartTime);
+  CPPUNIT_TEST(AnswerOfAnotherRunnerDoesNotEndRuns);
+  CPPUNIT_TEST(NextRunnerAtTheAddressEndsTheRunsOfASilentRunner);
   CPPUNIT_TEST(RunAssignedBeforeARemovalIsNotStarted);
   CPPUNIT_TEST(StartWithoutAnAnswerIsNoEvidenceOfACrash);
   CPPUNIT_TEST(InterruptedStartIsEvidenceOfACrash);
@@ -332,6 +334,41 @@
     CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
   }
 
+  // Guards against one answer for another runner, such as that of a gateway or
+  // at an earlier address, that ends all runs of a working runner (TWICE).
+  void AnswerOfAnotherRunnerDoesNotEndRuns() {
+    Assign(1, 3, RunnerId(0));
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kOtherIncarnation);
+    AcceptJob(2, 1);
+    AssignRuns(2, 1, RunnerId(0));
+    AnswerFirstRunner(AnswerKind::kOtherIncarnation);
+    CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+    CPPUNIT_ASSERT(!m_dispatcher->IsUsable(RunnerId(0), m_now));
+  }
+
+  // An address is given away only after its holder has ended.
+  void NextRunnerAtTheAddressEndsTheRunsOfASilentRunner() {
+    wire::RegisterRunnerT first;
+    first.runner = std::make_unique<wire::RunnerRecordT>(
+        m_state->FindRunner(RunnerId(0))->m_record);
+    first.runner->address = "10.0.0.1:80";
+    Apply(wire::RegisterRunnerT(first));
+    Assign(1, 3, RunnerId(0));
+    m_now += Millis(10);
+    m_dispatcher->Tick(m_now);
+    AnswerFirstRunner(AnswerKind::kOtherIncarnation);
+    first.runner->id = "next";
+    first.runner->machine = "another machine";
+    Apply(std::move(first));
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT(m_dispatcher->TakeCommands().empty());
+    AnswerHold("next", kBornMs);
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, TakeRemoval().new_runs.size());
+  }
+
   // Guards against a start that reaches a runner after its removal was
   // proposed: the removal ends the run as lost.
   void RunAssignedBeforeARemovalIsNotStarted() {
--- a/tests/process_runs_once.py
+++ b/tests/process_runs_once.py
@@ -255,7 +255,7 @@
 async def gateway(group, rng):
     # Idle runners are the ones that get the next starts.
     runners = rng.sample(group.runners, max(1, len(group.runners) // 3))
-    await set_for(runners, "gateway_status", rng.choice((500, 502, 504)), rng.choice((0.3, 1.0, 2.5)))
+    await set_for(runners, "gateway_status", rng.choice((421, 500, 502, 504)), rng.choice((0.3, 1.0, 2.5)))
 
 
 async def crash(group, rng):
