Refuse a run list that does not name its incarnation

What callers would see: one empty list without the start time of its incarnation ends all runs of a runner that works. Lists always name it where the runner's reports do.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(UnreadableRunEndIsNotAcknowledged);
   CPPUNIT_TEST(MapsEveryRejectionStatusAndReason);
   CPPUNIT_TEST(StatusOfAGatewayIsNoAnswerOfTheRunner);
+  CPPUNIT_TEST(RunListOfAnUnnamedIncarnationIsInvalid);
   CPPUNIT_TEST(ReadsSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -308,8 +309,8 @@
     CPPUNIT_ASSERT(kind(400, "") == runs::AnswerKind::kInvalid);
   }
 
-  // Guards against a start that is taken for rejected because a gateway answered
-  // for a runner that had carried it out (TWICE).
+  // Guards against a start that is taken for rejected because a gateway
+  // answered for a runner that had carried it out (TWICE).
   void StatusOfAGatewayIsNoAnswerOfTheRunner() {
     for (const runs::CallKind call_kind :
          {runs::CallKind::kStart, runs::CallKind::kStop,
@@ -327,6 +328,22 @@
     }
   }
 
+  // Guards against an empty list that ends all runs of a runner, though it does
+  // not name the runner's incarnation (TWICE).
+  void RunListOfAnUnnamedIncarnationIsInvalid() {
+    runs::RunnerCall call;
+    call.m_kind = runs::CallKind::kHold;
+    call.m_born_ms = 5;
+    const auto kind = [&](const char* body) {
+      return m_codec.Decode(call, MakeResponse(200, body)).m_kind;
+    };
+    CPPUNIT_ASSERT(kind(R"({"clock_ms":1,"running":[],"finished":[]})") ==
+                   runs::AnswerKind::kInvalid);
+    CPPUNIT_ASSERT(
+        kind(R"({"clock_ms":1,"born":5,"running":[],"finished":[]})") ==
+        runs::AnswerKind::kOk);
+  }
+
   void ReadsSettings() {
     const ScratchFolder folder;
     const std::string path = folder.path() + "/node.yaml";
