--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -23,6 +23,10 @@
 // lease.
 constexpr Duration kUnavailableAfter = Millis(4500);
 constexpr Duration kUpkeepDuration = Millis(2000);
+// A member gives up a machine request after this time.
+constexpr Duration kMachineTimeout = Millis(1500);
+constexpr Duration kMaxInventoryTime = Millis(1500);
+constexpr Duration kLeaveInterval = Millis(1000);
 constexpr const char* kHost = "q.example";
 constexpr const char* kPrefix = "/q/";
 
@@ -65,7 +69,9 @@
   for (std::size_t i = 0; i < members; ++i) {
     StartMember(i);
   }
+  m_lives.resize(runners);
   for (std::size_t i = 0; i < runners; ++i) {
+    m_lives[i].m_runner_id = "i-" + std::to_string(i);
     m_runners.push_back(MakeRunner(i));
     Schedule(m_now + RandomDelay(kHeartbeatInterval),
              [this, i] { SendHeartbeat(i); });
@@ -97,8 +103,10 @@
 
 FakeRunner FakeWorkGroup::MakeRunner(std::size_t index) {
   const double rate = 0.98 + 0.02 * static_cast<double>(m_random() % 100) / 100;
-  FakeRunner runner("i-" + std::to_string(index), VirtualMoment().m_wall_ms,
-                    rate, m_now);
+  const auto born_ms = static_cast<std::uint64_t>(
+      static_cast<std::int64_t>(VirtualMoment().m_wall_ms) +
+      m_lives[index].m_born_shift.count());
+  FakeRunner runner(m_lives[index].m_runner_id, born_ms, rate, m_now);
   runner.m_matches_by_id =
       std::getenv("BRONZEBARROW_RUNNERS_MATCH_BY_ID") != nullptr;
   runner.m_on_start = [this](const FakeRunner& at, const jobs::RunKey& run) {
@@ -169,6 +177,7 @@
   ++member.m_incarnation;
   member.m_batch.reset();
   member.m_suspended = false;
+  member.m_is_reading_inventory = false;
   member.m_next_tick = m_now + RandomDelay(kTickInterval);
   WorkCoreOptions options;
   options.m_replica.m_id = member.m_id;
@@ -225,10 +234,108 @@
 
 void FakeWorkGroup::RestartRunner(std::size_t runner) {
   DropHolds(runner);
+  ++m_lives[runner].m_count;
+  m_lives[runner].m_is_down = false;
+  m_lives[runner].m_is_leaving = false;
   m_runners[runner] = MakeRunner(runner);
   m_heartbeat_sequences[runner] = 0;
 }
 
+void FakeWorkGroup::CutRunner(std::size_t runner, RunnerCut cut) {
+  m_lives[runner].m_cut = cut;
+  if (cut != RunnerCut::kNone) {
+    ResetHolds(runner);
+  }
+}
+
+void FakeWorkGroup::EndRunner(std::size_t runner, const NextLife& next) {
+  MachineLife& life = m_lives[runner];
+  if (life.m_is_down || m_in_upkeep.contains(runner)) {
+    return;
+  }
+  if (Chance(0.5)) {
+    ResetHolds(runner);
+  } else {
+    DropHolds(runner);
+  }
+  m_runners[runner] = MakeRunner(runner);
+  ++life.m_count;
+  life.m_is_down = true;
+  life.m_is_leaving = false;
+  life.m_refuses_when_ended = Chance(0.5);
+  Schedule(m_now + next.m_gap, [this, runner, next, ended = life.m_count] {
+    MachineLife& started = m_lives[runner];
+    if (started.m_count != ended) {
+      return;
+    }
+    if (!next.m_has_same_id) {
+      started.m_runner_id =
+          "i-" + std::to_string(runner) + "-" + std::to_string(ended);
+    }
+    started.m_has_new_address = Chance(0.5);
+    started.m_born_shift = next.m_born_shift;
+    started.m_cut = RunnerCut::kNone;
+    RestartRunner(runner);
+  });
+}
+
+void FakeWorkGroup::LeaveRunner(std::size_t runner, Duration patience) {
+  MachineLife& life = m_lives[runner];
+  if (life.m_is_down || life.m_is_leaving || m_in_upkeep.contains(runner)) {
+    return;
+  }
+  life.m_is_leaving = true;
+  SendLeave(runner, life.m_count);
+  Schedule(m_now + patience, [this, runner, count = life.m_count] {
+    EndLeavingRunner(runner, count);
+  });
+}
+
+void FakeWorkGroup::SendLeave(std::size_t runner, std::uint32_t life) {
+  if (m_lives[runner].m_count != life || !m_lives[runner].m_is_leaving) {
+    return;
+  }
+  Schedule(m_now + kLeaveInterval,
+           [this, runner, life] { SendLeave(runner, life); });
+  ++m_heartbeat_sequences[runner];
+  const auto leader = Leader();
+  if (!leader || m_runner_disconnected[runner]) {
+    return;
+  }
+  wire::ReportRunnerCallT report;
+  report.leaves = true;
+  report.runner = std::make_unique<wire::RunnerRecordT>();
+  report.runner->id = m_runners[runner].id();
+  report.runner->born_ms = m_runners[runner].born_ms();
+  report.runner->sequence = m_heartbeat_sequences[runner];
+  wire::CallBodyUnion body;
+  body.Set(std::move(report));
+  Caller caller;
+  caller.m_leaving_runner = runner;
+  caller.m_life = life;
+  CallMember(*leader, std::move(body), &caller);
+}
+
+void FakeWorkGroup::EndLeavingRunner(std::size_t runner, std::uint32_t life) {
+  if (m_lives[runner].m_count == life && m_lives[runner].m_is_leaving) {
+    NextLife next;
+    next.m_gap = Millis(300) + RandomDelay(Millis(3000));
+    EndRunner(runner, next);
+  }
+}
+
+// Ends the calls that the runner keeps open: their connections break.
+void FakeWorkGroup::ResetHolds(std::size_t runner) {
+  for (const OpenHold& hold : m_open_holds[runner]) {
+    Schedule(m_now + RandomDelay(m_faults.m_max_delay), [this, hold] {
+      runs::RunnerAnswer answer;
+      answer.m_connection_ended = true;
+      DeliverAnswer(hold.m_member, hold.m_incarnation, hold.m_call, answer);
+    });
+  }
+  m_open_holds[runner].clear();
+}
+
 // Drops the hold calls that the runner keeps open, so that they time out.
 void FakeWorkGroup::DropHolds(std::size_t runner) {
   for (const OpenHold& hold : m_open_holds[runner]) {
@@ -248,6 +355,9 @@
   m_faults.m_answer_lost = 0;
   m_faults.m_call_delayed = 0;
   m_runner_disconnected.assign(m_runners.size(), false);
+  for (MachineLife& life : m_lives) {
+    life.m_cut = RunnerCut::kNone;
+  }
   for (std::size_t i = 0; i < m_members.size(); ++i) {
     m_members[i].m_suspended = false;
     Restart(i);
@@ -280,11 +390,54 @@
         member.m_next_tick = m_now + kTickInterval;
         member.m_core->Tick(VirtualMoment());
         PerformActions(i);
+        if (m_has_inventory && !member.m_is_reading_inventory &&
+            member.m_core->TakeInventoryRequest(m_now)) {
+          ReadInventory(i);
+        }
       }
     }
   }
 }
 
+fleet::Machine FakeWorkGroup::DescribeMachine(std::size_t runner) const {
+  fleet::Machine machine;
+  machine.m_name = "machine-" + std::to_string(runner);
+  machine.m_pool = "pool";
+  machine.m_labels = {"a", "r" + std::to_string(runner / 3)};
+  if (m_in_upkeep.contains(runner)) {
+    machine.m_state = fleet::MachineState::kUpkeep;
+  } else if (m_lives[runner].m_is_down) {
+    machine.m_state = fleet::MachineState::kDown;
+  } else {
+    machine.m_state = fleet::MachineState::kUp;
+    machine.m_runner = m_runners[runner].id();
+  }
+  return machine;
+}
+
+void FakeWorkGroup::ReadInventory(std::size_t index) {
+  Member& member = m_members[index];
+  member.m_is_reading_inventory = true;
+  const Instant requested_at = m_now;
+  const Duration span = RandomDelay(kMaxInventoryTime);
+  const auto rows = std::make_shared<std::vector<fleet::Machine>>();
+  for (std::size_t i = 0; i < m_runners.size(); ++i) {
+    Schedule(m_now + RandomDelay(span),
+             [this, i, rows] { rows->push_back(DescribeMachine(i)); });
+  }
+  Schedule(m_now + span, [this, index, rows, requested_at,
+                          incarnation = member.m_incarnation] {
+    Member& reader = m_members[index];
+    if (reader.m_incarnation != incarnation || !reader.m_core) {
+      return;
+    }
+    reader.m_is_reading_inventory = false;
+    reader.m_core->OnMachineInventory(std::move(*rows), requested_at,
+                                      VirtualMoment());
+    PerformActions(index);
+  });
+}
+
 std::optional<std::size_t> FakeWorkGroup::Leader() {
   for (std::size_t i = 0; i < m_members.size(); ++i) {
     if (m_members[i].m_core && !m_members[i].m_suspended &&
@@ -346,7 +499,16 @@
     if (caller == m_callers.end()) {
       continue;
     }
-    if (reply.m_reply.outcome == wire::CallOutcome::Accepted) {
+    if (caller->second.m_leaving_runner) {
+      const std::size_t runner = *caller->second.m_leaving_runner;
+      if (!m_runner_disconnected[runner] &&
+          !(m_faults.m_answer_lost > 0 && Chance(m_faults.m_answer_lost))) {
+        Schedule(m_now + RandomDelay(m_faults.m_max_delay),
+                 [this, runner, life = caller->second.m_life] {
+                   EndLeavingRunner(runner, life);
+                 });
+      }
+    } else if (reply.m_reply.outcome == wire::CallOutcome::Accepted) {
       (caller->second.m_cancels ? m_cancelled : m_accepted)
           .insert(caller->second.m_job);
     }
@@ -362,8 +524,54 @@
   member.m_core->TakeAdviceRequests();
 }
 
+// Lets the call fail if its connection is refused or reset.
+bool FakeWorkGroup::AnswerWithFailedConnection(std::size_t member,
+                                               const runs::RunnerCall& call) {
+  const std::size_t index = std::stoul(call.m_runner.substr(2));
+  const MachineLife& life = m_lives[index];
+  const bool is_ended = life.m_is_down || (life.m_has_new_address &&
+                                           call.m_runner != life.m_runner_id);
+  const bool is_refused =
+      (is_ended && life.m_refuses_when_ended) ||
+      life.m_cut == RunnerCut::kRefused ||
+      (m_faults.m_call_refused > 0 && Chance(m_faults.m_call_refused));
+  const bool is_reset =
+      !is_ended &&
+      (life.m_cut == RunnerCut::kReset ||
+       (m_faults.m_call_reset > 0 && Chance(m_faults.m_call_reset)));
+  if (!is_refused && !is_reset && !is_ended) {
+    return false;
+  }
+  const std::uint64_t incarnation = m_members[member].m_incarnation;
+  runs::RunnerAnswer answer;
+  Instant answered_at = m_now + RandomDelay(m_faults.m_max_delay);
+  if (is_refused) {
+    answer.m_kind = runs::AnswerKind::kRefused;
+  } else if (is_reset) {
+    answer.m_connection_ended = true;
+    if (Chance(0.5)) {
+      Schedule(m_now + RandomDelay(m_faults.m_max_delay * 2),
+               [this, member, incarnation, call] {
+                 const std::size_t runner = std::stoul(call.m_runner.substr(2));
+                 if (!m_lives[runner].m_is_down) {
+                   DeliverCall(member, incarnation, call, false);
+                 }
+               });
+    }
+  } else {
+    answered_at = m_now + kCallTimeout + Millis(call.m_wait_ms);
+  }
+  Schedule(answered_at, [this, member, incarnation, call, answer] {
+    DeliverAnswer(member, incarnation, call, answer);
+  });
+  return true;
+}
+
 void FakeWorkGroup::SendRunnerCall(std::size_t member,
                                    const runs::RunnerCall& call) {
+  if (AnswerWithFailedConnection(member, call)) {
+    return;
+  }
   const std::uint64_t incarnation = m_members[member].m_incarnation;
   const Instant timeout = m_now + kCallTimeout + Millis(call.m_wait_ms);
   const auto time_out = [this, member, incarnation, call] {
@@ -378,7 +586,8 @@
              [this, member, incarnation, call] {
                // Late calls to a later incarnation are not modelled.
                const std::size_t runner = std::stoul(call.m_runner.substr(2));
-               if (m_runners[runner].born_ms() == call.m_born_ms) {
+               if (m_runners[runner].born_ms() == call.m_born_ms &&
+                   !m_lives[runner].m_is_down) {
                  DeliverCall(member, incarnation, call, false);
                }
              });
@@ -390,7 +599,7 @@
     Schedule(m_now + RandomDelay(m_faults.m_max_delay),
              [this, member, incarnation, call, answered, timeout, time_out] {
                const std::size_t runner = std::stoul(call.m_runner.substr(2));
-               if (m_runner_disconnected[runner]) {
+               if (m_runner_disconnected[runner] || m_lives[runner].m_is_down) {
                  if (answered) {
                    Schedule(timeout, time_out);
                  }
@@ -465,14 +674,47 @@
                                      const fleet::MachineRequest& request) {
   const std::size_t runner = std::stoul(request.m_machine.substr(8));
   const std::uint64_t incarnation = m_members[member].m_incarnation;
-  Schedule(m_now + Millis(20), [this, member, incarnation, request] {
+  const auto answer = [this, member, incarnation,
+                       request](fleet::MachineResponse response) {
     if (m_members[member].m_incarnation == incarnation &&
         m_members[member].m_core) {
-      m_members[member].m_core->OnMachineAnswer(
-          request, fleet::MachineResponse::kOk, VirtualMoment());
+      m_members[member].m_core->OnMachineAnswer(request, response,
+                                                VirtualMoment());
       PerformActions(member);
     }
+  };
+  if (m_faults.m_max_machine_delay == Duration::zero()) {
+    Schedule(m_now + Millis(20),
+             [answer] { answer(fleet::MachineResponse::kOk); });
+    ExecuteMachineRequest(runner);
+    return;
+  }
+  const Instant executed_at = m_now + RandomDelay(m_faults.m_max_machine_delay);
+  const Instant answered_at =
+      executed_at + RandomDelay(m_faults.m_max_machine_delay);
+  const Instant timeout = m_now + kMachineTimeout;
+  const bool is_lost = Chance(m_faults.m_machine_answer_lost);
+  const bool is_late = is_lost || answered_at >= timeout;
+  if (is_late) {
+    Schedule(timeout, [answer] { answer(fleet::MachineResponse::kNoAnswer); });
+  }
+  Schedule(executed_at, [this, answer, answered_at, is_late, runner] {
+    const MachineLife& life = m_lives[runner];
+    const bool is_busy = !m_upkeep_started.contains(runner) &&
+                         (life.m_is_down || life.m_is_leaving);
+    if (!is_busy) {
+      ExecuteMachineRequest(runner);
+    }
+    if (!is_late) {
+      Schedule(answered_at, [answer, is_busy] {
+        answer(is_busy ? fleet::MachineResponse::kBusy
+                       : fleet::MachineResponse::kOk);
+      });
+    }
   });
+}
+
+void FakeWorkGroup::ExecuteMachineRequest(std::size_t runner) {
   if (!m_upkeep_started.insert(runner).second) {
     return;  // A repeated request has no effect.
   }
@@ -491,6 +733,9 @@
   Schedule(m_now + kUpkeepDuration, [this, runner] {
     m_in_upkeep.erase(runner);
     m_runner_disconnected[runner] = false;
+    if (m_has_inventory) {
+      m_lives[runner].m_runner_id = "i-" + std::to_string(runner) + "-u";
+    }
     RestartRunner(runner);
   });
 }
@@ -499,6 +744,10 @@
   DropHolds(runner);
   m_runners[runner] = MakeRunner(runner);
   m_runner_disconnected[runner] = true;
+  ++m_lives[runner].m_count;
+  m_lives[runner].m_is_down = true;
+  m_lives[runner].m_is_leaving = false;
+  m_lives[runner].m_refuses_when_ended = false;
 }
 
 void FakeWorkGroup::SubmitLongRunning(std::uint32_t count) {
@@ -582,7 +831,7 @@
       const auto deliver = [this, hold, answer] {
         DeliverAnswer(hold.m_member, hold.m_incarnation, hold.m_call, answer);
       };
-      if (m_runner_disconnected[i]) {
+      if (m_runner_disconnected[i] || m_lives[i].m_is_down) {
         Schedule(m_now + kCallTimeout, [this, hold] {
           DeliverAnswer(hold.m_member, hold.m_incarnation, hold.m_call,
                         runs::RunnerAnswer());
@@ -615,7 +864,7 @@
   Schedule(m_now + kHeartbeatInterval, [this, index] { SendHeartbeat(index); });
   ++m_heartbeat_sequences[index];
   const auto leader = Leader();
-  if (!leader || m_runner_disconnected[index]) {
+  if (!leader || m_runner_disconnected[index] || m_lives[index].m_is_down) {
     return;
   }
   wire::ReportRunnerCallT report;
@@ -631,6 +880,15 @@
   report.runner->sequence = m_heartbeat_sequences[index];
   wire::CallBodyUnion body;
   body.Set(std::move(report));
+  if (m_faults.m_report_delayed > 0 && Chance(m_faults.m_report_delayed)) {
+    const auto late = std::make_shared<wire::CallBodyUnion>(std::move(body));
+    Schedule(m_now + Millis(1000) + RandomDelay(Millis(7000)), [this, late] {
+      if (const auto receiver = Leader()) {
+        CallMember(*receiver, std::move(*late), nullptr);
+      }
+    });
+    return;
+  }
   CallMember(*leader, std::move(body), nullptr);
   if (m_members[*leader].m_core &&
       m_members[*leader].m_core->state().queues().version() == 0) {
@@ -679,7 +937,7 @@
     submit.job->steps.push_back(std::move(step));
   }
   m_submitted.insert(id);
-  const Caller caller = {id, false};
+  const Caller caller = {id, false, std::nullopt, 0};
   wire::CallBodyUnion body;
   body.Set(std::move(submit));
   const auto leader = Leader();
@@ -699,7 +957,7 @@
   cancel.path = kPrefix + jobs::JobIdText(id);
   wire::CallBodyUnion body;
   body.Set(std::move(cancel));
-  const Caller caller = {id, true};
+  const Caller caller = {id, true, std::nullopt, 0};
   CallMember(*leader, std::move(body), &caller);
 }
 
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -29,12 +29,34 @@
   // A call is executed 2 to 12 s later, unanswered.
   double m_call_delayed = 0.02;
   double m_run_fails = 0.02;  // A run ends as failed.
+  // A call to a runner is refused and not carried out.
+  double m_call_refused = 0;
+  // The connection of a call ends before the answer; the call is carried out
+  // or not.
+  double m_call_reset = 0;
+  // A report of a runner arrives 1 to 8 s late.
+  double m_report_delayed = 0;
+  // The platform's answer to a machine request is lost.
+  double m_machine_answer_lost = 0;
+  // Longest time until a machine request is carried out, and from then to its
+  // answer. Answers that come after the timeout are dropped.
+  Duration m_max_machine_delay = Duration::zero();
   // Upper bounds of the random times.
   Duration m_max_delay = Millis(15);
   Duration m_max_sync = Millis(15);
   Duration m_max_run = Millis(1700);  // Of tasks that are not long-running.
 };
 
+/** How the connections from members to a runner fail; it goes on working. */
+enum class RunnerCut { kNone, kRefused, kReset };
+
+/** The runner that follows the end of another one on its machine. */
+struct NextLife {
+  Duration m_gap = Millis(500);  // The machine is down for this long.
+  bool m_has_same_id = false;
+  Millis m_born_shift = Millis(0);  // Of the machine's clock at its start.
+};
+
 class FakeWorkGroup {
  public:
   FakeWorkGroup(std::size_t members, std::size_t runners, std::uint64_t seed);
@@ -67,6 +89,21 @@
   /** The runner loses power: its runs are gone and it does not answer. */
   void PowerOffRunner(std::size_t runner);
 
+  /** Cuts the runner off, or connects it again. Open calls end with resets. */
+  void CutRunner(std::size_t runner, RunnerCut cut);
+  /**
+   * The runner reports that it leaves and ends when this is acknowledged, or
+   * after `patience`; its runs go on until then.
+   */
+  void LeaveRunner(std::size_t runner, Duration patience);
+  /** The runner ends, and the next one of its machine starts. */
+  void EndRunner(std::size_t runner, const NextLife& next);
+  /**
+   * Provides leaders with lists of machines. Each row is true at some time
+   * between the request and the response, which takes up to 1.5 s.
+   */
+  void ProvideInventory() { m_has_inventory = true; }
+
   /** Submits a job of `count` long-running tasks with a budget of one. */
   void SubmitLongRunning(std::uint32_t count);
   /**
@@ -112,10 +149,14 @@
     bool m_suspended = false;
     Instant m_next_tick;
     Instant m_stalled_until;  // Syncs do not end before this time.
+    bool m_is_reading_inventory = false;
   };
   struct Caller {
     jobs::JobId m_job = 0;
     bool m_cancels = false;  // Cancels the job; else submits it.
+    // The runner that reports that it leaves, and the life that it is in.
+    std::optional<std::size_t> m_leaving_runner;
+    std::uint32_t m_life = 0;
   };
   /** A hold call (lease renewal, long poll) that a runner keeps open. */
   struct OpenHold {
@@ -125,6 +166,20 @@
     Instant m_until;
   };
 
+  /** The state of a machine; its runner has the same index. */
+  struct MachineLife {
+    std::uint32_t m_count = 0;  // Of the runners that have ended on it.
+    std::string m_runner_id;
+    bool m_is_down = false;     // Until the next runner starts.
+    bool m_is_leaving = false;  // Its runner has reported that it leaves.
+    // Calls to an ended runner are refused; else they are not answered.
+    bool m_refuses_when_ended = false;
+    // The next runner does not answer at the address of the one before.
+    bool m_has_new_address = false;
+    Millis m_born_shift = Millis(0);
+    RunnerCut m_cut = RunnerCut::kNone;
+  };
+
   void Schedule(Instant when, std::function<void()> event);
   void StartMember(std::size_t index);
   void PerformActions(std::size_t index);
@@ -141,6 +196,14 @@
   void OnStart(const FakeRunner& runner, const jobs::RunKey& run);
   void OnMachineRequest(std::size_t member,
                         const fleet::MachineRequest& request);
+  void ExecuteMachineRequest(std::size_t runner);
+  void ReadInventory(std::size_t member);
+  fleet::Machine DescribeMachine(std::size_t runner) const;
+  void ResetHolds(std::size_t runner);
+  bool AnswerWithFailedConnection(std::size_t member,
+                                  const runs::RunnerCall& call);
+  void SendLeave(std::size_t runner, std::uint32_t life);
+  void EndLeavingRunner(std::size_t runner, std::uint32_t life);
   void DropHolds(std::size_t runner);
   void CheckBudget(const jobs::TaskKey& task);
   bool IsRunning(const jobs::TaskKey& task) const;
@@ -155,7 +218,9 @@
   Instant m_now;
   std::vector<Member> m_members;
   std::vector<FakeRunner> m_runners;
+  std::vector<MachineLife> m_lives;  // By runner.
   std::vector<bool> m_runner_disconnected;
+  bool m_has_inventory = false;
   std::vector<std::uint64_t> m_heartbeat_sequences;
   std::vector<std::vector<OpenHold>> m_open_holds;  // By runner.
   std::multimap<Instant, std::function<void()>> m_events;
