Take a report of a later start for a restart only when the runner's list shows it

Cause: a heartbeat with a later start time than the registered one ended all runs of the runner. If the clock of a machine goes back between two incarnations under one id, a delayed heartbeat of the first one names a later start: a working runner lost all its runs at one moment.

Change: the next run list decides, as it did for runs that may be at the next incarnation. The removal takes one call more and the new incarnation registers with its next heartbeat.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -86,9 +86,10 @@
    */
   void SetTicket(const jobs::TaskKey& task, std::string ticket);
   /**
-   * The runner reports that it has started again: its earlier incarnation has
-   * crashed. It is removed once no run of its can be at the new incarnation,
-   * which has the same id and carries out calls that were sent before.
+   * The runner reports a later start than the registered one. If it has runs,
+   * its next run list decides: a delayed report of an earlier incarnation is no
+   * restart. A new incarnation has the same id and carries out calls that were
+   * sent before; the old one is removed once none of its runs can be there.
    * @return whether it is removed now
    */
   bool OnRestarted(const std::string& runner, Instant now);
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -173,12 +173,12 @@
   }
   RunnerLink& link = found->second;
   link.m_is_superseded = true;
-  const bool may_run_there = std::any_of(
-      link.m_tracked_runs.begin(), link.m_tracked_runs.end(),
-      [](const auto& item) {
-        return MayBeRunning(item.second) && !item.second.HasOnlyRunHere();
-      });
-  if (may_run_there && !link.m_removal_proposed) {
+  // If the machine's clock has gone back, a delayed report of an earlier
+  // incarnation names a later start.
+  const bool may_run =
+      std::any_of(link.m_tracked_runs.begin(), link.m_tracked_runs.end(),
+                  [](const auto& item) { return MayBeRunning(item.second); });
+  if (may_run && !link.m_removal_proposed) {
     StopRunsAtNextIncarnation(runner, link, now);
     link.m_next_hold = std::min(link.m_next_hold, now);
     return false;
--- a/tests/runner_ends_test.cc
+++ b/tests/runner_ends_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(ReportsOfLeavingEndNoRunOfAWorkingRunner);
   CPPUNIT_TEST(ListsOfMachinesEndNoRunOfAWorkingRunner);
   CPPUNIT_TEST(NextRunnersOfMachinesEndNoRunOfAWorkingRunner);
+  CPPUNIT_TEST(StartTimesThatGoBackEndNoRunOfAWorkingRunner);
   CPPUNIT_TEST(LateUpkeepAnswersEndNoRunOfAWorkingRunner);
   CPPUNIT_TEST(NewOwnersEndNoRunOfAWorkingRunner);
   CPPUNIT_TEST(MixedFaultsEndNoRunOfAWorkingRunner);
@@ -94,6 +95,18 @@
          });
   }
 
+  // Guards against a next incarnation that starts at an earlier time than the
+  // one before it under its id.
+  void StartTimesThatGoBackEndNoRunOfAWorkingRunner() {
+    Play([](FakeWorkGroup& group) { group.faults().m_report_delayed = 0.1; },
+         [](FakeWorkGroup& group, int round) {
+           EndSome(group, kMaxClockStep, true);
+           if (round % 2 == 0) {
+             DisconnectSome(group);
+           }
+         });
+  }
+
   // Guards against the answer to an upkeep that was done, or that a later owner
   // requests again, which ends the runner that has come since.
   void LateUpkeepAnswersEndNoRunOfAWorkingRunner() {
