Keep the proposed end of a run when its start is answered late

Cause: OnStart set a run to started, or rejected, whose end was already proposed and not yet committed, so it counted as running again.

Change: such a response only ends the call.

Evidence: StartAnsweredAfterTheLapse (ends_of_runners_test, virtual time) failed before: the state was not end_proposed. No second run of a task was shown by it: the loss was right, and a run ends once in the log.

--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -706,6 +706,9 @@
   TrackedRun& tracked = found->second;
   tracked.m_call_in_flight = false;
   tracked.m_confirmed_at = now;
+  if (tracked.m_state == TrackedRunState::kEndProposed) {
+    return;
+  }
   if (answer.m_kind == AnswerKind::kOk) {
     tracked.MarkStarted(now);
     if (link.m_next_hold > now) {
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(StartIsAnsweredAfterItsStop);
   CPPUNIT_TEST(ListSentBeforeAStartWasConfirmed);
   CPPUNIT_TEST(AnswersOfAnEarlierEpochShowNothing);
+  CPPUNIT_TEST(StartAnsweredAfterTheLapse);
   CPPUNIT_TEST(InventoryRequestedBeforeTheSilence);
   CPPUNIT_TEST(InventoryAnsweredAfterTheNextRegistration);
   CPPUNIT_TEST(EarlierStartTimesInTwoAnswers);
@@ -277,6 +278,43 @@
     CPPUNIT_ASSERT(IsRunning(Run(1)) && IsAssigned(Run(1)));
   }
 
+  // Guards against a second end of a run whose start is answered after its loss
+  // was proposed and before that is committed.
+  void StartAnsweredAfterTheLapse() {
+    Assign(1, 1, Id(0));
+    const std::vector<RunnerCall> starts = m_dispatcher->TakeOutgoingCalls();
+    const RunnerAnswer started = Execute(starts[0]);
+    std::vector<wire::WorkBodyUnion> uncommitted;
+    for (const Instant end = m_now + Millis(8000);
+         m_now < end && uncommitted.empty();) {
+      m_now += kStep;
+      m_runners.at(Id(0))->AdvanceTo(m_now);
+      m_dispatcher->Tick(m_now);
+      for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+        m_dispatcher->OnAnswer(call, Failed(AnswerKind::kNoAnswer), m_now);
+      }
+      uncommitted = CheckCommands();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_lost.size());
+    m_now += kStep;
+    m_dispatcher->OnAnswer(starts[0], started, m_now);
+    CPPUNIT_ASSERT(m_dispatcher->FindLink(Id(0))
+                       ->m_tracked_runs.at(Run(1).m_task)
+                       .m_state == TrackedRunState::kEndProposed);
+    for (int round = 0; round < 3; ++round) {
+      m_now += kStep;
+      m_dispatcher->Tick(m_now);
+      for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+        if (call.m_kind == CallKind::kHold) {
+          RunnerAnswer list = Execute(call);
+          list.m_ended.clear();  // Forgotten.
+          m_dispatcher->OnAnswer(call, list, m_now);
+        }
+      }
+      CheckCommands();
+    }
+  }
+
   // Guards against a list of machines from before the runner fell silent.
   void InventoryRequestedBeforeTheSilence() {
     Assign(1, 2, Id(0));
