Count a stop for the next incarnation only if it can have reached it

Cause: any stop that was confirmed after a report of the next incarnation counted as carried out there, also one that the earlier incarnation had carried out and whose response came late. The run was lost, and its start, sent before without a response, could still be carried out by the next incarnation, which has the same id.

Change: the stop must have been sent after that report, or its response must name the next incarnation.

--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -91,6 +91,9 @@
   bool m_hold_in_flight = false;
   // Another incarnation answers under its id, or has reported.
   bool m_is_superseded = false;
+  // When that was first known. Calls sent since do not reach the registered
+  // incarnation unless the report was wrong.
+  Instant m_superseded_at;
   // Answers in a row that name an earlier incarnation than the registered one.
   std::uint32_t m_earlier_answers = 0;
   // It has said that it leaves: its runs are stopped, and its lease is not
@@ -116,6 +119,11 @@
   std::unordered_map<jobs::TaskKey, TrackedRun> m_tracked_runs;
   // Tasks among them that may have crashed an earlier runner.
   std::vector<jobs::TaskKey> m_trials;
+
+  void MarkSuperseded(Instant now) {
+    m_superseded_at = m_is_superseded ? m_superseded_at : now;
+    m_is_superseded = true;
+  }
 };
 
 }  // namespace bronzebarrow::runs
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -599,7 +599,7 @@
                                     RunnerLink& link, Instant now) {
   if (call.m_kind != CallKind::kHold) {
     // Only a run list shows what runs there.
-    link.m_is_superseded = true;
+    link.MarkSuperseded(now);
     link.m_next_hold = std::min(link.m_next_hold, now);
     HandleByKind(call, answer, link, now);
     return;
@@ -612,7 +612,7 @@
       ++link.m_earlier_answers < kEarlierAnswersToBelieve) {
     return;
   }
-  link.m_is_superseded = true;
+  link.MarkSuperseded(now);
   bool may_run_there = StopRunsAtNextIncarnation(call.m_runner, link, now);
   for (const ReportedRun& row : answer.m_running) {
     if (FindTracked(link, row.m_run) != nullptr) {
@@ -775,7 +775,11 @@
   if (answer.m_kind == AnswerKind::kOk ||
       answer.m_kind == AnswerKind::kStaleRun) {
     tracked.m_stop_confirmed = true;
-    tracked.m_is_stopped_at_next = link.m_is_superseded;
+    // The earlier incarnation may have answered a call that was sent before.
+    tracked.m_is_stopped_at_next =
+        link.m_is_superseded &&
+        (call.m_sent >= link.m_superseded_at ||
+         (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms));
     tracked.m_confirmed_at = now;
     link.m_next_hold = std::min(link.m_next_hold, now);
   } else {
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -172,7 +172,7 @@
     return true;
   }
   RunnerLink& link = found->second;
-  link.m_is_superseded = true;
+  link.MarkSuperseded(now);
   // If the machine's clock has gone back, a delayed report of an earlier
   // incarnation names a later start.
   const bool may_run =
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(InventoryAnsweredAfterTheNextRegistration);
   CPPUNIT_TEST(EarlierStartTimesInTwoAnswers);
   CPPUNIT_TEST(LaterStartTimeInAnswersOfAWorkingRunner);
+  CPPUNIT_TEST(StopAnsweredByTheEarlierIncarnation);
   CPPUNIT_TEST(OtherMembersOfAGangWorkOn);
   CPPUNIT_TEST_SUITE_END();
 
@@ -386,6 +387,27 @@
     CPPUNIT_ASSERT(!IsAssigned(Run(1)) && !IsAssigned(Run(1, 1)));
   }
 
+  // Guards against a stop that the earlier incarnation carried out and that
+  // counts for the next one under its id, which carries out the start.
+  void StopAnsweredByTheEarlierIncarnation() {
+    const RunnerCall start = StartThatTimesOut();
+    m_dispatcher->StopRun(Id(0), Run(1).m_task, m_now);
+    std::vector<std::pair<RunnerCall, RunnerAnswer>> late;
+    for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+      late.emplace_back(call, Execute(call));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
+    m_now += kStep;
+    Boot(Id(0), kBornMs + 1);
+    CPPUNIT_ASSERT(!m_dispatcher->OnRestarted(Id(0), m_now));
+    m_now += kStep;
+    Return(late[0].first, late[0].second);
+    Work(Millis(500));
+    const RunnerAnswer answer = Execute(start);
+    CPPUNIT_ASSERT(answer.m_kind != AnswerKind::kOk);
+    CPPUNIT_ASSERT(m_removed.contains(Id(0)));
+  }
+
   // Guards against ending the runs of all members of a gang when the runner of
   // one ends, or when one of them fails.
   void OtherMembersOfAGangWorkOn() {
