Read the end of a stopped run only from a list requested after the stop

Cause: a list of the next incarnation, made before that carried out a start and read after the stop of the run was confirmed, removed the runner. A stop takes a while, so the run was still there.

Evidence: ListOfTheNextIncarnationFromBeforeTheStop (ends_of_runners_test, virtual time) failed before: a run was proposed as lost while it was running.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -191,9 +191,10 @@
   void OnOtherIncarnation(const RunnerCall& call, const RunnerAnswer& answer,
                           RunnerLink& link, Instant now);
   // Stops the runs whose start may have reached the next incarnation.
-  // @return whether there are any that it has not confirmed as stopped
+  // @return whether there are any that it had not confirmed as stopped by
+  // `list_sent`, so that a list from then does not show that they have ended
   bool StopRunsAtNextIncarnation(const std::string& runner, RunnerLink& link,
-                                 Instant now);
+                                 Instant list_sent, Instant now);
   // Records a call without an answer.
   void OnSilence(const RunnerCall& call, const RunnerAnswer& answer,
                  RunnerLink& link, Instant now);
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -613,7 +613,8 @@
     return;
   }
   link.MarkSuperseded(now);
-  bool may_run_there = StopRunsAtNextIncarnation(call.m_runner, link, now);
+  bool may_run_there =
+      StopRunsAtNextIncarnation(call.m_runner, link, call.m_sent, now);
   for (const ReportedRun& row : answer.m_running) {
     if (FindTracked(link, row.m_run) != nullptr) {
       may_run_there = true;
@@ -641,7 +642,8 @@
 }
 
 bool Dispatcher::StopRunsAtNextIncarnation(const std::string& runner,
-                                           RunnerLink& link, Instant now) {
+                                           RunnerLink& link, Instant list_sent,
+                                           Instant now) {
   bool may_run_there = false;
   for (auto& [task, tracked] : link.m_tracked_runs) {
     // A call of an earlier owner is rejected from the first call of this one
@@ -649,11 +651,12 @@
     const bool start_was_sent = tracked.m_state == TrackedRunState::kStarting ||
                                 tracked.m_state == TrackedRunState::kStarted;
     if (!start_was_sent || tracked.m_attempts == 0 ||
-        tracked.HasOnlyRunHere() || tracked.m_is_stopped_at_next) {
+        tracked.HasOnlyRunHere() ||
+        (tracked.m_is_stopped_at_next && tracked.m_confirmed_at < list_sent)) {
       continue;
     }
     may_run_there = true;
-    if (!tracked.m_call_in_flight) {
+    if (!tracked.m_call_in_flight && !tracked.m_is_stopped_at_next) {
       tracked.m_stop_requested = true;
       tracked.m_call_in_flight = true;
       SendStop(runner, link, {task, tracked.m_run}, now);
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -179,7 +179,7 @@
       std::any_of(link.m_tracked_runs.begin(), link.m_tracked_runs.end(),
                   [](const auto& item) { return MayBeRunning(item.second); });
   if (may_run && !link.m_removal_proposed) {
-    StopRunsAtNextIncarnation(runner, link, now);
+    StopRunsAtNextIncarnation(runner, link, now, now);
     link.m_next_hold = std::min(link.m_next_hold, now);
     return false;
   }
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(EarlierStartTimesInTwoAnswers);
   CPPUNIT_TEST(LaterStartTimeInAnswersOfAWorkingRunner);
   CPPUNIT_TEST(StopAnsweredByTheEarlierIncarnation);
+  CPPUNIT_TEST(ListOfTheNextIncarnationFromBeforeTheStop);
   CPPUNIT_TEST(OtherMembersOfAGangWorkOn);
   CPPUNIT_TEST_SUITE_END();
 
@@ -408,6 +409,41 @@
     CPPUNIT_ASSERT(m_removed.contains(Id(0)));
   }
 
+  // Guards against a list of the next incarnation from before it carried out
+  // the start: the stop is confirmed when the list arrives, and the run is
+  // ending.
+  void ListOfTheNextIncarnationFromBeforeTheStop() {
+    const RunnerCall start = StartThatTimesOut();
+    Boot(Id(0), kBornMs + 1);
+    CPPUNIT_ASSERT(!m_dispatcher->OnRestarted(Id(0), m_now));
+    std::vector<RunnerCall> calls = m_dispatcher->TakeOutgoingCalls();
+    for (const RunnerCall& call : Step()) {
+      calls.push_back(call);
+    }
+    std::vector<std::pair<RunnerCall, RunnerAnswer>> lists;
+    for (const RunnerCall& call : calls) {
+      if (call.m_runner == Id(0) && call.m_kind == CallKind::kHold) {
+        lists.emplace_back(call, Execute(call));
+      }
+    }
+    CPPUNIT_ASSERT(!lists.empty());
+    CPPUNIT_ASSERT(Execute(start).m_kind == AnswerKind::kOk);
+    m_now += kStep;
+    for (const RunnerCall& call : calls) {
+      if (call.m_runner == Id(0) && call.m_kind == CallKind::kStop) {
+        // The stop is accepted, and the run is ending.
+        Return(call, Failed(AnswerKind::kOk));
+      }
+    }
+    m_now += kStep;
+    for (const auto& [call, answer] : lists) {
+      Return(call, answer);
+    }
+    CPPUNIT_ASSERT(m_lost.empty() && m_removed.empty());
+    Work(Millis(1000));
+    CPPUNIT_ASSERT(!IsAssigned(Run(1)));
+  }
+
   // Guards against ending the runs of all members of a gang when the runner of
   // one ends, or when one of them fails.
   void OtherMembersOfAGangWorkOn() {
