Let a runner forget ends only when its incarnation has been seen

Cause: a hold names the id of its runner and the last recorded end of the registered incarnation. The next incarnation under that id numbers its ends from one, so a hold meant for the crashed one made it forget ends that no owner had recorded. If a start sent to the crashed incarnation was carried out by the next one, its done end was lost and the task was started again.

Change: the first hold of an owner, and holds to a silent or superseded runner, acknowledge no end. The ends are acknowledged once a list has come.

A runner that restarts between two holds with no call that fails may still forget such an end.

--- a/include/bronzebarrow/runs/runner_call.h
+++ b/include/bronzebarrow/runs/runner_call.h
@@ -37,9 +37,16 @@
   std::string m_ticket;
   // For holds: the ends up to this number are recorded.
   std::uint64_t m_last_recorded_end = 0;
+  // For holds: whether the runner may forget these ends. Each incarnation
+  // numbers its ends from one, and the next one may receive the call.
+  bool m_acknowledges = true;
   std::uint32_t m_wait_ms = 0;  // For holds: longest delay of the response.
   // For throttling.
   std::uint32_t m_percent = 100;  // Of the task's full rate.
+
+  std::uint64_t AcknowledgedEnd() const {
+    return m_acknowledges ? m_last_recorded_end : 0;
+  }
 };
 
 enum class AnswerKind {
--- a/src/node/relay_table.cc
+++ b/src/node/relay_table.cc
@@ -116,7 +116,7 @@
   relayed.spec = call.m_spec;
   relayed.checkpoint = call.m_checkpoint;
   relayed.ticket = call.m_ticket;
-  relayed.last_recorded_end = call.m_last_recorded_end;
+  relayed.last_recorded_end = call.AcknowledgedEnd();
   relayed.wait_ms = call.m_wait_ms;
   relayed.percent = call.m_percent;
   return relayed;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -240,6 +240,8 @@
   }
   RunnerCall call = MakeCall(CallKind::kHold, runner, link, now);
   call.m_last_recorded_end = known->m_last_recorded_end;
+  call.m_acknowledges = link.m_fenced && link.m_consecutive_timeouts == 0 &&
+                        !link.m_is_superseded;
   const bool may_wait = link.m_fenced && link.m_consecutive_timeouts == 0 &&
                         !link.m_leases_expired && !link.m_tracked_runs.empty();
   call.m_wait_ms =
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(RunnerOutlivesAnOddStartTimeInTheLog);
   CPPUNIT_TEST(RunIsNotMissingFromAListWithUnreadableRows);
   CPPUNIT_TEST(OddEndNumberIsNotAcknowledged);
+  CPPUNIT_TEST(SilentRunnerIsNotToldToForgetEnds);
   CPPUNIT_TEST(RefusedStartIsNoSuspect);
   CPPUNIT_TEST(LapsedRunnerHasNotCrashed);
   CPPUNIT_TEST(LostRunsAreCountedByCause);
@@ -715,6 +716,31 @@
                          m_state->FindRunner(RunnerId(0))->m_last_recorded_end);
   }
 
+  // Guards against a hold with the last end of a crashed incarnation that makes
+  // the next one, under its id, forget a done end that no owner has recorded.
+  void SilentRunnerIsNotToldToForgetEnds() {
+    Assign(1, 1, RunnerId(0));
+    Assign(2, 1, RunnerId(0));
+    m_running = {{{{2, 0, 0, 0}, 1}, "", 0, 0}};
+    m_reported_end = {1, {{1, 0, 0, 0}, 1}, wire::EndKind::Done, ""};
+    m_reporting_runner = RunnerId(0);
+    Advance(Millis(20));
+    m_now += Millis(20);
+    m_dispatcher->Tick(m_now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, AcknowledgedToFirstRunner());
+    for (int i = 0; i < 2; ++i) {  // Silent, and under a new owner.
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, AcknowledgedToFirstRunner());
+      Advance(Millis(200));
+      Advance(Millis(200));
+      m_now += Millis(200);
+      m_dispatcher->Tick(m_now);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, AcknowledgedToFirstRunner());
+      m_dispatcher->StepDown();
+      m_dispatcher->BecomeLeader(m_state->epoch() + 1, m_now);
+      m_dispatcher->Tick(m_now);
+    }
+  }
+
   // A start whose connection is refused has reached no process.
   void RefusedStartIsNoSuspect() {
     AssignAndAge(1, 1, Millis(300));
@@ -844,6 +870,22 @@
     Advance(Millis(1));
   }
 
+  // Lets the next hold to the first runner time out.
+  std::uint64_t AcknowledgedToFirstRunner() {
+    for (int i = 0; i < 20; ++i) {
+      for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+        if (call.m_runner == RunnerId(0) && call.m_kind == CallKind::kHold) {
+          m_dispatcher->OnAnswer(call, RunnerAnswer(), m_now);
+          return call.AcknowledgedEnd();
+        }
+      }
+      m_now += Millis(50);
+      m_dispatcher->Tick(m_now);
+    }
+    CPPUNIT_FAIL("no hold is sent");
+    return 0;
+  }
+
   // Passes an answer of this kind to the open calls to the first runner.
   void AnswerFirstRunner(AnswerKind kind, bool connection_ended = false) {
     RunnerAnswer answer;
--- a/tests/fake_runner.cc
+++ b/tests/fake_runner.cc
@@ -104,12 +104,12 @@
       m_expires_ms = std::max(m_expires_ms, expires);
       for (const runs::ReportedEnd& row : m_ended) {
         if (row.m_end_number > m_acknowledged &&
-            row.m_end_number <= call.m_last_recorded_end && m_on_acknowledged &&
+            row.m_end_number <= call.AcknowledgedEnd() && m_on_acknowledged &&
             row.m_end_number > m_expired_up_to) {
           m_on_acknowledged(row.m_run, row.m_how);
         }
       }
-      m_acknowledged = std::max(m_acknowledged, call.m_last_recorded_end);
+      m_acknowledged = std::max(m_acknowledged, call.AcknowledgedEnd());
       std::erase_if(m_ended, [&](const runs::ReportedEnd& row) {
         return row.m_end_number <= m_acknowledged;
       });
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -819,7 +819,7 @@
     std::vector<OpenHold> holds = std::exchange(m_open_holds[i], {});
     for (OpenHold& hold : holds) {
       if (m_now < hold.m_until &&
-          !m_runners[i].HasEndsAfter(hold.m_call.m_last_recorded_end)) {
+          !m_runners[i].HasEndsAfter(hold.m_call.AcknowledgedEnd())) {
         m_open_holds[i].push_back(std::move(hold));
         continue;
       }
--- a/tests/load_model.cc
+++ b/tests/load_model.cc
@@ -420,7 +420,7 @@
     const auto& runner = m_machines[hold.m_machine].m_runner;
     const bool is_due = m_now >= hold.m_until || !runner ||
                         runner->id() != hold.m_call.m_runner ||
-                        runner->HasEndsAfter(hold.m_call.m_last_recorded_end);
+                        runner->HasEndsAfter(hold.m_call.AcknowledgedEnd());
     if (is_due) {
       due.push_back(hold.m_call);
     }
