Give each runner of the fakes an address of its own

All runners of the fakes reported one address, which the platform gives to one runner at a time. The checks are unchanged.

--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -273,6 +273,9 @@
           "i-" + std::to_string(runner) + "-" + std::to_string(ended);
     }
     started.m_has_new_address = Chance(0.5);
+    if (started.m_has_new_address) {
+      ++started.m_port;
+    }
     started.m_born_shift = next.m_born_shift;
     started.m_cut = RunnerCut::kNone;
     RestartRunner(runner);
@@ -872,7 +875,8 @@
   report.runner->id = m_runners[index].id();
   report.runner->born_ms = m_runners[index].born_ms();
   report.runner->machine = "machine-" + std::to_string(index);
-  report.runner->address = "127.0.0.1:1";
+  report.runner->address = "127.0.0." + std::to_string(index + 1) + ':' +
+                           std::to_string(m_lives[index].m_port);
   report.runner->pool = "pool";
   report.runner->labels = {"a", "r" + std::to_string(index / 3)};
   report.runner->cpu_milli = 8000;
--- a/tests/work_calls_test.cc
+++ b/tests/work_calls_test.cc
@@ -215,7 +215,7 @@
     wire::ReportRunnerCallT report = LeaveReport(id, born_ms, sequence);
     report.leaves = leaves;
     report.runner->machine = "m-" + id;
-    report.runner->address = "127.0.0.1:1";
+    report.runner->address = "address of " + id;
     report.runner->pool = "pool";
     report.runner->cpu_milli = 1000;
     report.runner->memory_mb = 1000;
