--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(StartAnsweredAfterTheLapse);
   CPPUNIT_TEST(InventoryRequestedBeforeTheSilence);
   CPPUNIT_TEST(InventoryAnsweredAfterTheNextRegistration);
+  CPPUNIT_TEST(ListedRunsOutliveAnOddHeartbeat);
   CPPUNIT_TEST(EarlierStartTimesInTwoAnswers);
   CPPUNIT_TEST(LaterStartTimeInAnswersOfAWorkingRunner);
   CPPUNIT_TEST(StopAnsweredByTheEarlierIncarnation);
@@ -355,6 +356,18 @@
     CPPUNIT_ASSERT(IsRunning(Run(1)) && IsAssigned(Run(1)));
   }
 
+  // Guards against one heartbeat of another writer, with a later start time,
+  // that ends all runs of a working runner.
+  void ListedRunsOutliveAnOddHeartbeat() {
+    Assign(1, 3, Id(0));
+    Work(Millis(500));
+    m_dispatcher->OnRestarted(Id(0), m_now);
+    ApplyCommands();
+    Work(Millis(500));
+    CPPUNIT_ASSERT(m_lost.empty() && m_removed.empty());
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(Id(0), m_now));
+  }
+
   // Guards against late answers that name an earlier incarnation.
   void EarlierStartTimesInTwoAnswers() {
     Assign(1, 2, Id(0));
