Play moves, reused addresses, set-back clocks and a silent platform in the soak

Change: one fault each. A platform request is refused while a runner leaves, and a runner that starts ends the one before it: a leave and an upkeep that overlapped left runs open that had ended, which the judge would have counted. A proxy that two faults have cut is healed once. The members' logs are kept when a rule is broken.

--- a/tests/process_runs_once.py
+++ b/tests/process_runs_once.py
@@ -4,8 +4,9 @@
 A group of five members and two entries as separate processes, and runners behind
 proxies on loopback. A seed draws faults that a working runner can cause or meet
 (resets, refused connections, silence, lost and late calls, answers of a gateway),
-crashes, leaves, upkeeps, and signals to members; they come in series and overlap.
-Exit 1 if a task ran twice at once or was started after its end was recorded.
+crashes, leaves, upkeeps, moves, addresses and times of day that change, a silent
+platform, and signals to members; they come in series and overlap. Exit 1 if a task
+ran twice at once or was started after its end was recorded; the members' logs stay.
 
     BUILD=build tests/process_runs_once.py --seed 7
     BUILD=build tests/process_runs_once.py --only refuse_briefly --runners 72
@@ -28,8 +29,10 @@
 BUILD = os.path.abspath(os.environ.get("BUILD", os.path.join(os.path.dirname(HERE), "build")))
 START_S = 6.0  # until all members vote and all runners have a lease
 SETTLE_S = 12.0  # without faults; longer than the longest lease
-MAINTENANCE_S = 2.0
+MAINTENANCE_S, MOVE_S = 2.0, 1.5
+ADDRESS_REUSE_S = 2.0
 RUNNER_CPU, TASK_CPU = 8000, 1900
+SECOND_SERVICE, SECOND_PREFIX = "wuno96b", "/kafi706/"
 # A call that is held up arrives this much later (seconds).
 LATE_S = (2.0, 6.0)
 # Lengths of one fault (seconds), around the call timeout of 0.7 s and the lease of 4.5 s.
@@ -50,6 +53,10 @@
             writer.transport.abort()
         self.record("proxy at %s: connections are reset" % self.address)
 
+    async def heal(self):
+        if not self.server.is_serving():  # Faults that overlap may have cut it twice.
+            await super().heal()
+
     async def _serve(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
         try:
@@ -107,8 +114,20 @@
     """Notes when an end is recorded, and ends lapsed runs when the lease did."""
 
     lapsed_up_to = 0  # Ends up to this number were listed when the lease lapsed.
+    set_back_ms = 0  # The machine's time of day is behind by this much.
+    steady_born = 0
+
+    @property
+    def born(self):
+        return self.steady_born - self.set_back_ms
+
+    @born.setter
+    def born(self, value):
+        self.steady_born = value
 
     async def begin(self):
+        if self.up:
+            self.end("replaced")  # A machine has one runner at a time.
         self.lapsed_up_to = 0
         await super().begin()
 
@@ -147,8 +166,11 @@
     def __init__(self, folder, **options):
         super().__init__(folder, **options)
         self.done, self.started_again = {}, []
-        self.down, self.upkept, self.wave = set(), set(), 0
+        self.down, self.upkept, self.wave = {}, set(), 0
         self.answer_s = 0.02
+        self.prefix = self.PREFIX  # the queue that jobs go to
+        self.platform_works = asyncio.Event()
+        self.platform_works.set()
 
     def start_process(self, name, bootstrap):
         path = self._settings(name, bootstrap)
@@ -177,28 +199,40 @@
 
         async def platform(method, path, headers, raw):
             await asyncio.sleep(self.answer_s)
-            if path != "/v1/machine-upkeep":
+            if path.startswith("/v1/machines"):
                 status, answer = await list_machines(method, path, headers, raw)
                 for row in answer.get("machines", []):
-                    row["state"] = "upkeep" if row["machine"] in self.down else row["state"]
-                return status, answer
-            machine = json.loads(raw)["machine"]
-            runner = next(r for r in self.runners if r.machine == machine)
-            if machine in self.down or not runner.up:
-                return 409, {"reason": "busy"}
-            if (machine, self.wave) not in self.upkept:
-                self.upkept.add((machine, self.wave))
-                self.down.add(machine)
-                asyncio.create_task(self._upkeep(runner))
+                    row["state"] = self.down.get(row["machine"], row["state"])
+            else:
+                status, answer = self._operate(path, json.loads(raw))
+                self.record("platform: %s %s: %d" % (path, raw.decode(), status))
+            await self.platform_works.wait()
             await asyncio.sleep(self.answer_s)
-            return 200, {}
+            return status, answer
 
         self.cloud.handler = platform
 
-    async def _upkeep(self, runner):
-        runner.end("upkeep")
-        await asyncio.sleep(MAINTENANCE_S)
-        self.down.discard(runner.machine)
+    def _operate(self, path, body):
+        machine, pool = body["machine"], body.get("pool")
+        runner = next(r for r in self.runners if r.machine == machine)
+        is_move = path == "/v1/machine-move"
+        is_done = runner.service == pool if is_move else (machine, body["wave"]) in self.upkept
+        if machine in self.down or not runner.up or runner.state != "ready":
+            return 409, {"reason": "busy"}
+        if not is_done:
+            if is_move:
+                runner.service = pool
+            else:
+                self.upkept.add((machine, body["wave"]))
+            self.down[machine] = "moving" if is_move else "upkeep"
+            runner.end(self.down[machine])
+            asyncio.create_task(self._return(runner, MOVE_S if is_move else MAINTENANCE_S))
+        return 200, {}
+
+    async def _return(self, runner, pause_s):
+        await asyncio.sleep(pause_s)
+        del self.down[runner.machine]
+        runner.id += random.choice(("", "m"))  # It may have an id of its own.
         await runner.begin()
 
 
@@ -215,12 +249,12 @@
 
 
 async def refuse(group, rng, length_s):
-    runners = busy(group, rng)
-    for runner in runners:
-        runner.proxy.cut()
+    proxies = [runner.proxy for runner in busy(group, rng)]
+    for proxy in proxies:
+        proxy.cut()
     await asyncio.sleep(length_s)
-    for runner in runners:
-        await runner.proxy.heal()
+    for proxy in proxies:
+        await proxy.heal()
 
 
 async def refuse_any(group, rng):
@@ -232,12 +266,13 @@
 
 
 async def set_for(runners, field, value, length_s):
+    proxies = [runner.proxy for runner in runners]
     for runner in runners:
         runner.record("%s: %s=%s for %.2f s" % (runner.id, field, value, length_s))
         setattr(runner.proxy, field, value)
     await asyncio.sleep(length_s)
-    for runner in runners:
-        setattr(runner.proxy, field, type(value)())
+    for proxy in proxies:
+        setattr(proxy, field, type(value)())
 
 
 async def lose_answers(group, rng):
@@ -317,9 +352,95 @@
     group.start_process(name, False)
 
 
+async def set_clock_back(group, rng):
+    """The next runner of a machine says that it was born before the one that ended,
+    and is cut off for a moment while it works."""
+    runner = busy(group, rng, 0.01)[0]
+    if rng.random() < 0.5:
+        runner.fall_silent("crash, silent")
+    else:
+        runner.end("crash")
+    await asyncio.sleep(rng.choice((0.3, 1.5)))
+    runner.id += "z"
+    runner.set_back_ms += 60000
+    await runner.begin()
+    await asyncio.sleep(rng.choice((0.5, 1.6, 3.0)))
+    for _ in range(3):
+        runner.proxy.cut()
+        await asyncio.sleep(0.3)
+        await runner.proxy.heal()
+        await asyncio.sleep(1.0)
+
+
+async def swap_addresses(group, rng):
+    """Two runners end, and the next ones of their machines have each other's address."""
+    up = [r for r in busy(group, rng, 1.0) if r.up]
+    if len(up) < 2:
+        return
+    runners = rng.sample(up, 2)
+    for runner in runners:
+        if rng.random() < 0.5:
+            runner.fall_silent("crash, silent")
+        else:
+            runner.end("crash")
+    await asyncio.sleep(ADDRESS_REUSE_S)
+    first, second = runners
+    first.proxy, second.proxy = second.proxy, first.proxy
+    first.address, second.address = second.address, first.address
+    is_same_id = rng.random() < 0.5
+    for runner in runners:
+        runner.proxy.target = "%s:%d" % (runner.host, runner.port)
+        runner.id += "" if is_same_id else "w"
+        await runner.begin()
+
+
+async def move_machines(group, rng):
+    """The demand shifts to a second pool and back; the platform answers slowly."""
+    if len(group.services) == 1:
+        group.services = group.services + [dict(group.services[0], name=SECOND_SERVICE)]
+        group.routes = group.routes + [
+            group.route("r-second", SECOND_PREFIX, service=SECOND_SERVICE)]
+        await group.put_config(group.config(8, group.routes))
+    group.answer_s = rng.choice((0.02, 0.5, 1.5))
+    group.prefix = SECOND_PREFIX
+    await asyncio.sleep(6)
+    group.prefix = group.PREFIX
+    await asyncio.sleep(4)
+    group.answer_s = 0.02
+
+
+async def silent_platform(group, rng):
+    """The platform carries requests out and answers none; runners are cut off."""
+    group.platform_works.clear()
+    group.record("platform: silent")
+    try:
+        await refuse(group, rng, 0.3)
+        await asyncio.sleep(rng.choice((1.5, 3.0, 6.0)))
+    finally:
+        group.platform_works.set()
+
+
+async def stop_leader_again(group, rng):
+    for _ in range(rng.randint(3, 6)):
+        if any(process.poll() is not None for process in group.processes.values()):
+            return  # The group has to keep its majority.
+        try:
+            name = await asyncio.wait_for(group.leader(), 3)
+        except (standin.NotRun, asyncio.TimeoutError):
+            return
+        group.send_signal(name, signal.SIGSTOP)
+        for _ in range(3):
+            for runner in busy(group, rng):
+                runner.proxy.reset()
+            await asyncio.sleep(rng.uniform(0.1, 0.33))
+        group.send_signal(name, signal.SIGCONT)
+        await asyncio.sleep(rng.choice((0.1, 0.5, 1.5)))
+
+
 FAULTS = {f.__name__: f for f in (
     reset_once, refuse_any, refuse_briefly, lose_answers, lose_requests, late_calls, gateway,
-    crash, leave, upkeep_wave, signal_member)}
+    crash, leave, upkeep_wave, signal_member, set_clock_back, swap_addresses, move_machines,
+    silent_platform, stop_leader_again)}
 
 
 async def press(group, rng, until_s):
@@ -329,7 +450,7 @@
         work_ms = rng.choice((700, 1500, 4000))
         steps = [{"count": rng.randint(3, 8), "cpu": TASK_CPU, "mem_mb": 512, "estimate_ms": work_ms}]
         try:
-            await group.submit(steps, "work_ms=%d" % work_ms)
+            await group.submit(steps, "work_ms=%d" % work_ms, group.prefix)
             count += 1
         except standin.NotRun:
             pass
@@ -392,6 +513,8 @@
         count = await jobs
         await asyncio.sleep(SETTLE_S)
         broken = judge(group)
+        if broken:
+            os.environ["KEEP"] = "1"  # Group.end() then leaves the members' logs in place.
         how = {}
         for run in group.runs:
             how[run.how] = how.get(run.how, 0) + 1
