--- a/tests/process_runs_once.py
+++ b/tests/process_runs_once.py
@@ -125,6 +125,12 @@
     def born(self, value):
         self.steady_born = value
 
+    async def _beat(self):
+        life = self.steady_born
+        while self.up and self.steady_born == life:
+            await asyncio.gather(self.tell("heartbeat", self.beat_body),
+                                 asyncio.sleep(standin.HEARTBEAT_S))
+
     async def begin(self):
         if self.up:
             self.end("replaced")  # A machine has one runner at a time.
@@ -293,14 +299,18 @@
     await set_for(runners, "gateway_status", rng.choice((421, 500, 502, 504)), rng.choice((0.3, 1.0, 2.5)))
 
 
+def end_by_crash(runner, silent):
+    if silent:
+        runner.fall_silent("crash, silent")
+    else:
+        runner.end("crash")
+
+
 async def crash(group, rng):
     runners = busy(group, rng, 0.1)
     silent = rng.random() < 0.5
     for runner in runners:
-        if silent:
-            runner.fall_silent("crash, silent")
-        else:
-            runner.end("crash")
+        end_by_crash(runner, silent)
     await asyncio.sleep(rng.choice((0.3, 1.5, 3.0)))
     for runner in runners:
         if rng.random() < 0.3:
@@ -353,13 +363,9 @@
 
 
 async def set_clock_back(group, rng):
-    """The next runner of a machine says that it was born before the one that ended,
-    and is cut off for a moment while it works."""
+    """A machine's next runner has an earlier start time, and is cut off while it works."""
     runner = busy(group, rng, 0.01)[0]
-    if rng.random() < 0.5:
-        runner.fall_silent("crash, silent")
-    else:
-        runner.end("crash")
+    end_by_crash(runner, rng.random() < 0.5)
     await asyncio.sleep(rng.choice((0.3, 1.5)))
     runner.id += "z"
     runner.set_back_ms += 60000
@@ -374,15 +380,11 @@
 
 async def swap_addresses(group, rng):
     """Two runners end, and the next ones of their machines have each other's address."""
-    up = [r for r in busy(group, rng, 1.0) if r.up]
-    if len(up) < 2:
+    runners = busy(group, rng, 1.0)[:2]
+    if len(runners) < 2:
         return
-    runners = rng.sample(up, 2)
     for runner in runners:
-        if rng.random() < 0.5:
-            runner.fall_silent("crash, silent")
-        else:
-            runner.end("crash")
+        end_by_crash(runner, rng.random() < 0.5)
     await asyncio.sleep(ADDRESS_REUSE_S)
     first, second = runners
     first.proxy, second.proxy = second.proxy, first.proxy
@@ -462,7 +464,7 @@
     running = []
     busy_faults = set()
     while group.record.now() < until_s:
-        name = only or rng.choice(sorted(FAULTS))
+        name = only[0] if len(only) == 1 else rng.choice(only or sorted(FAULTS))
         if name not in busy_faults:
             group.record("fault %s" % name)
             busy_faults.add(name)
@@ -533,10 +535,12 @@
     parser.add_argument("--seed", type=int, default=int(time.time()))
     parser.add_argument("--seconds", type=float, default=30.0, help="length of the faults")
     parser.add_argument("--runners", type=int, default=16)
-    parser.add_argument("--only", choices=sorted(FAULTS), help="one kind of fault")
+    parser.add_argument("--only", nargs="+", choices=sorted(FAULTS), default=[],
+                        help="kinds of faults to draw from")
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="runs-once-")
-    code = asyncio.run(play(args, folder))
+    # asyncio.run() waits for all tasks, and wait_for() may swallow their cancelling.
+    code = asyncio.new_event_loop().run_until_complete(play(args, folder))
     sys.stdout.flush()
     os._exit(code)
 
