Let no runner of the soak answer after its end

Cause: the stand-in, not the product. The runner's listening socket was closed while the newly elected leader connected to it. asyncio hands over a connection that it accepted before the close, and the server that is closed does not know of it. Over that one connection the ended runner answered holds for 1.2 s and carried the start out, while every other call to it was broken.

Change: a runner that has ended answers nothing.

--- a/tests/process_runs_once.py
+++ b/tests/process_runs_once.py
@@ -29,8 +29,7 @@
 BUILD = os.path.abspath(os.environ.get("BUILD", os.path.join(os.path.dirname(HERE), "build")))
 START_S = 6.0  # until all members vote and all runners have a lease
 SETTLE_S = 12.0  # without faults; longer than the longest lease
-MAINTENANCE_S, MOVE_S = 2.0, 1.5
-ADDRESS_REUSE_S = 2.0
+MAINTENANCE_S, MOVE_S, ADDRESS_REUSE_S = 2.0, 1.5, 2.0
 RUNNER_CPU, TASK_CPU = 8000, 1900
 SECOND_SERVICE, SECOND_PREFIX = "wuno96b", "/kafi706/"
 # A call that is held up arrives this much later (seconds).
@@ -150,6 +149,8 @@
             run.ended = max(run.begun, min(run.ended, ended))
 
     async def _answer(self, path, headers, raw):
+        if not self.up:  # A server that is closed may still hand a new connection over.
+            raise OSError("the runner has ended")
         if path == "/v1/hold":
             # An end whose runner's lease lapsed before it was recorded does not count.
             seen = json.loads(raw).get("last_seen", 0)
@@ -535,8 +536,7 @@
     parser.add_argument("--seed", type=int, default=int(time.time()))
     parser.add_argument("--seconds", type=float, default=30.0, help="length of the faults")
     parser.add_argument("--runners", type=int, default=16)
-    parser.add_argument("--only", nargs="+", choices=sorted(FAULTS), default=[],
-                        help="kinds of faults to draw from")
+    parser.add_argument("--only", nargs="+", choices=sorted(FAULTS), default=[], help="kinds of faults")
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="runs-once-")
     # asyncio.run() waits for all tasks, and wait_for() may swallow their cancelling.
