Heal a proxy of the soak once when two faults end together

Cause: the check whether a proxy listens and the call to listen were apart by an await. Change: a lock around both.

--- a/tests/process_runs_once.py
+++ b/tests/process_runs_once.py
@@ -44,8 +44,8 @@
 
     def __init__(self, target, record):
         super().__init__(target, record)
-        self.gateway_status = 0
-        self.holds_requests = False
+        self.gateway_status, self.holds_requests = 0, False
+        self.healing = asyncio.Lock()
 
     def reset(self):
         for writer in list(self.writers):
@@ -53,8 +53,9 @@
         self.record("proxy at %s: connections are reset" % self.address)
 
     async def heal(self):
-        if not self.server.is_serving():  # Faults that overlap may have cut it twice.
-            await super().heal()
+        async with self.healing:  # Faults that overlap may have cut it twice.
+            if not self.server.is_serving():
+                await super().heal()
 
     async def _serve(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
@@ -415,7 +416,6 @@
 async def silent_platform(group, rng):
     """The platform carries requests out and answers none; runners are cut off."""
     group.platform_works.clear()
-    group.record("platform: silent")
     try:
         await refuse(group, rng, 0.3)
         await asyncio.sleep(rng.choice((1.5, 3.0, 6.0)))
