Keep the answer of an incarnation that names itself as proof

From the present address of the runner, it proves the end again; from an earlier one it does not (OtherAnswerAtAnEarlierAddress).

--- a/include/bronzebarrow/runs/runner_call.h
+++ b/include/bronzebarrow/runs/runner_call.h
@@ -51,16 +51,18 @@
 
 enum class AnswerKind {
   kOk,
-  kFenced,            // The runner has seen a higher epoch.
-  kStaleRun,          // This or a later run was stopped or has ended there.
-  kLeaseExpired,      // The lease sent with the call had expired.
-  kNoCapacity,        // The runner lacks free capacity for the run.
-  kNoTicket,          // The call lacks a valid ticket of the adviser.
-  kUnhealthy,         // The runner is unhealthy and has not executed the call.
-  kInvalid,           // The runner rejected the call as malformed.
-  kOtherIncarnation,  // Not answered by this runner; another is at the address.
-  kRefused,           // The connection was refused; the call was not sent.
-  kNoAnswer,          // Timed out; the call may still be executed later.
+  kFenced,        // The runner has seen a higher epoch.
+  kStaleRun,      // This or a later run was stopped or has ended there.
+  kLeaseExpired,  // The lease sent with the call had expired.
+  kNoCapacity,    // The runner lacks free capacity for the run.
+  kNoTicket,      // The call lacks a valid ticket of the adviser.
+  kUnhealthy,     // The runner is unhealthy and has not executed the call.
+  kInvalid,       // The runner rejected the call as malformed.
+  // Not answered by this runner. It has ended if the answer names the start of
+  // the one that is at its address now.
+  kOtherIncarnation,
+  kRefused,   // The connection was refused; the call was not sent.
+  kNoAnswer,  // Timed out; the call may still be executed later.
 };
 
 /** A run that a runner reports as running. */
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -553,7 +553,11 @@
     return;
   }
   RunnerLink& link = found->second;
-  if (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms) {
+  const bool is_at_earlier_address =
+      answer.m_kind == AnswerKind::kOtherIncarnation &&
+      call.m_address != link.m_address;
+  if (answer.m_born_ms != 0 && answer.m_born_ms != link.m_born_ms &&
+      !is_at_earlier_address) {
     OnOtherIncarnation(call, answer, link, now);
     return;
   }
@@ -599,6 +603,18 @@
 void Dispatcher::OnOtherIncarnation(const RunnerCall& call,
                                     const RunnerAnswer& answer,
                                     RunnerLink& link, Instant now) {
+  if (answer.m_kind == AnswerKind::kOtherIncarnation) {
+    // It rejects calls to this one.
+    const auto tracked = link.m_tracked_runs.find(call.m_run.m_task);
+    if (call.m_kind == CallKind::kStart &&
+        tracked != link.m_tracked_runs.end() &&
+        tracked->second.m_run == call.m_run.m_run &&
+        tracked->second.m_attempts == 1) {
+      tracked->second.m_state = TrackedRunState::kRejected;
+    }
+    ProposeRemoval(call.m_runner, link, RemovalCause::kOtherAnswer, now);
+    return;
+  }
   if (call.m_kind != CallKind::kHold) {
     // Only a run list shows what runs there.
     link.MarkSuperseded(now);
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(StartAnsweredAfterTheLapse);
   CPPUNIT_TEST(InventoryRequestedBeforeTheSilence);
   CPPUNIT_TEST(InventoryAnsweredAfterTheNextRegistration);
+  CPPUNIT_TEST(OtherAnswerAtAnEarlierAddress);
   CPPUNIT_TEST(ListedRunsOutliveAnOddHeartbeat);
   CPPUNIT_TEST(EarlierStartTimesInTwoAnswers);
   CPPUNIT_TEST(LaterStartTimeInAnswersOfAWorkingRunner);
@@ -356,6 +357,29 @@
     CPPUNIT_ASSERT(IsRunning(Run(1)) && IsAssigned(Run(1)));
   }
 
+  // Guards against a response from the holder of an address that the runner was
+  // registered with before.
+  void OtherAnswerAtAnEarlierAddress() {
+    Assign(1, 2, Id(0));
+    Work(Millis(500));
+    std::vector<RunnerCall> earlier;
+    for (const RunnerCall& call : Step()) {
+      if (call.m_runner == Id(0)) {
+        earlier.push_back(call);
+      } else {
+        Return(call, Execute(call));
+      }
+    }
+    CPPUNIT_ASSERT(!earlier.empty());
+    Register(Id(0), kBornMs, "address4", 2);
+    for (const RunnerCall& call : earlier) {
+      Return(call, Failed(AnswerKind::kOtherIncarnation));
+    }
+    Work(Millis(500));
+    CPPUNIT_ASSERT(m_lost.empty() && m_removed.empty());
+    CPPUNIT_ASSERT(m_dispatcher->IsUsable(Id(0), m_now));
+  }
+
   // Guards against one heartbeat of another writer, with a later start time,
   // that ends all runs of a working runner.
   void ListedRunsOutliveAnOddHeartbeat() {
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -176,8 +176,8 @@
     bool m_refuses_when_ended = false;
     // The next runner does not answer at the address of the one before.
     bool m_has_new_address = false;
-    std::uint32_t m_port =
-        1;  // Of its address; its host is that of the machine.
+    // Port of its address; the host is that of the machine.
+    std::uint32_t m_port = 1;
     Millis m_born_shift = Millis(0);
     RunnerCut m_cut = RunnerCut::kNone;
   };
