Register the next incarnation as soon as the earlier one is removed

Since a report of a later start waits for the run list, the incarnation that sent it would register with its next report, up to 1.5 s later. The leader keeps the report and registers it with the removal. runner_ends_test, work_core_test and work_calls_test pass (random restarts); the time that it saves was not measured.

--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -192,6 +192,10 @@
   void LogGivenUp(const jobs::RunKey& run);
   // Makes delayed heartbeats of the removed runner known as such.
   void RecordRemoval(const std::string& runner, std::uint64_t born_ms);
+  // Registers the incarnation that reported while the one that is removed now
+  // was still registered.
+  void RegisterNextIncarnation(const std::string& runner,
+                               std::uint64_t born_ms);
   void CompactIfDue();
   void TakeDispatcherCommands();
   // Passes on which silent runners have ended according to the inventory.
@@ -242,6 +246,9 @@
   std::map<std::string, std::vector<PendingLeave>> m_pending_leaves;
   // By removed runner: its latest heartbeat before the removal.
   std::map<std::string, Heartbeat> m_removed_runners;
+  // The last report of each runner with a later start than the registered one,
+  // until that one is removed.
+  std::map<std::string, wire::RunnerRecordT> m_next_incarnations;
   // The next inventory is for the machine planner too. Others are read only to
   // find runners that have ended.
   bool m_planner_awaits_inventory = false;
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -305,7 +305,7 @@
     const bool removed_now = m_dispatcher.OnRestarted(id, m_moment.m_now);
     TakeDispatcherCommands();
     if (!removed_now) {
-      // A later heartbeat registers it.
+      m_next_incarnations[id] = *report.runner;
       Reply(source, call_id, wire::CallOutcome::Accepted);
       return;
     }
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -352,6 +352,7 @@
   m_pending_openings.clear();
   m_heartbeats.clear();
   m_removed_runners.clear();
+  m_next_incarnations.clear();
   m_planner_awaits_inventory = false;
   m_admission.Clear();
   m_ownership_token.reset();
@@ -414,6 +415,7 @@
     m_plan_needed = true;
     if (applied.m_kind == wire::WorkBody::RemoveRunner && applied.m_changed) {
       RecordRemoval(applied.m_runner, applied.m_born_ms);
+      RegisterNextIncarnation(applied.m_runner, applied.m_born_ms);
       AnswerLeaves(applied.m_runner);
     }
     if (applied.m_kind == wire::WorkBody::AcceptJob) {
@@ -451,6 +453,24 @@
   }
 }
 
+void WorkCore::RegisterNextIncarnation(const std::string& runner,
+                                       std::uint64_t born_ms) {
+  const auto next = m_next_incarnations.find(runner);
+  if (next == m_next_incarnations.end()) {
+    return;
+  }
+  if (next->second.born_ms > born_ms) {
+    m_heartbeats[runner] = {next->second.born_ms, next->second.sequence};
+    wire::RegisterRunnerT command;
+    command.runner =
+        std::make_unique<wire::RunnerRecordT>(std::move(next->second));
+    wire::WorkBodyUnion body;
+    body.Set(std::move(command));
+    AddCommand(std::move(body));
+  }
+  m_next_incarnations.erase(next);
+}
+
 void WorkCore::LogGivenUp(const jobs::RunKey& run) {
   ++m_tasks_given_up;
   const jobs::Job& job = *m_state.FindJob(run.m_task.m_job);
