Drop the kept report of a later start when the runner's list contradicts it

A delayed report of an earlier incarnation would otherwise be registered when the present one is removed, and delay the registration of the true next one. Found while reading the merged diff; not seen in a run. work_core_test, runner_ends_test, work_calls_test, dispatcher_test pass.

--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -123,6 +123,12 @@
     // The runner itself contradicts its latest heartbeat.
     m_heartbeats.erase(call.m_runner);
   }
+  if (call.m_kind == runs::CallKind::kHold &&
+      answer.m_kind == runs::AnswerKind::kOk &&
+      answer.m_born_ms == call.m_born_ms) {
+    // The report of a later start was a delayed one or not the runner's.
+    m_next_incarnations.erase(call.m_runner);
+  }
   ProcessUpdates();
 }
 
