Log and count what a member's processor time goes to

Callers see timeouts on the large site; no log or metric said how late a member is or how much it receives, so work done again could not be told from more work. A member now logs once a second how late its ticks were, the frames and calls it received, the calls to runners that it relays and those that others relayed without an answer in time, and counts received calls by kind. No decision is changed.

--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -93,11 +93,23 @@
     std::optional<wire::CallReplyT> m_reply;
   };
 
+  /** What the member did since it last logged its load. */
+  struct Load {
+    Duration m_max_lateness = Duration::zero();  // Of its ticks.
+    std::uint64_t m_frames = 0;                  // Received.
+    std::uint64_t m_calls = 0;          // Received, with repeated ones.
+    std::uint64_t m_relayed_calls = 0;  // Received to be carried out.
+    // Relayed by others for this member and not answered in time.
+    std::uint64_t m_overdue_calls = 0;
+  };
+
   MemberNode(boost::asio::any_io_executor executor, MemberSettings settings,
              std::shared_ptr<const ProtocolCodec> codec,
              std::unique_ptr<consensus::LogStore> store);
 
   void ScheduleTick();
+  // Records how late the tick is, and logs the load once a second.
+  void RecordTick();
   void OnFrame(const net::FrameConnectionPtr& connection,
                std::unique_ptr<wire::FrameT> frame);
   void PerformActions();
@@ -158,6 +170,9 @@
   std::string m_sent_leader;
   bool m_is_reading_inventory = false;
   bool m_stopping = false;
+  Instant m_tick_due;
+  Load m_load;
+  Instant m_next_load_log;
 };
 
 }  // namespace bronzebarrow::node
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -21,6 +21,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration kTickInterval = Millis(25);
+constexpr Duration kLoadLogInterval = Millis(1000);
 // Time allowed for a runner's response beyond the wait that the call asks for:
 // two trips between zones, the runner's processing and a margin for delays.
 constexpr Duration kRunnerResponseTimeout = Millis(700);
@@ -171,11 +172,13 @@
 }
 
 void MemberNode::ScheduleTick() {
+  m_tick_due = Now() + kTickInterval;
   m_tick_timer.expires_after(kTickInterval);
   m_tick_timer.async_wait([self = shared_from_this()](const auto& error) {
     if (error || self->m_stopping) {
       return;
     }
+    self->RecordTick();
     std::vector<std::string> peers(self->m_leader_link.members().begin(),
                                    self->m_leader_link.members().end());
     peers.insert(peers.end(), self->m_settings.m_seeds.begin(),
@@ -192,17 +195,39 @@
   });
 }
 
+void MemberNode::RecordTick() {
+  const Instant now = Now();
+  const Duration lateness = std::max(now - m_tick_due, Duration::zero());
+  m_metrics.Observe("bronzebarrow_tick_late_seconds", "",
+                    std::chrono::duration<double>(lateness).count());
+  m_load.m_max_lateness = std::max(m_load.m_max_lateness, lateness);
+  if (now < m_next_load_log) {
+    return;
+  }
+  m_next_load_log = now + kLoadLogInterval;
+  EventLine(Event::kLoad)
+      .Field("max_late_ms",
+             std::chrono::duration_cast<Millis>(m_load.m_max_lateness).count())
+      .Field("frames", m_load.m_frames)
+      .Field("calls", m_load.m_calls)
+      .Field("relayed_calls", m_load.m_relayed_calls)
+      .Field("overdue_calls", m_load.m_overdue_calls);
+  m_load = Load();
+}
+
 void MemberNode::OnFrame(const net::FrameConnectionPtr& connection,
                          std::unique_ptr<wire::FrameT> frame) {
   if (m_stopping) {
     return;
   }
+  ++m_load.m_frames;
   if (frame->body.type == wire::Body::ViewRequest) {
     m_watchers.insert(connection);
     SendView(connection);
     return;
   }
   if (auto* relayed = frame->body.AsRelayedCalls()) {
+    m_load.m_relayed_calls += relayed->calls.size();
     for (auto& call : relayed->calls) {
       asio::co_spawn(m_executor, CarryOut(connection, std::move(call)),
                      asio::detached);
@@ -212,6 +237,10 @@
   if (const auto* call = frame->body.AsCall()) {
     const CallSource source = m_next_source++;
     m_remote_calls[source] = connection;
+    ++m_load.m_calls;
+    m_metrics.Count(
+        "bronzebarrow_calls_received_total",
+        std::string("call=\"") + wire::EnumNameCallBody(call->body.type) + '"');
     m_core->OnCall(source, *call, CurrentMoment());
   } else if (frame->receiver_generation == 0 ||
              frame->receiver_generation == m_id.m_generation) {
@@ -531,6 +560,7 @@
 
 void MemberNode::HandleOverdueCalls() {
   for (const runs::RunnerCall& call : m_relays.TakeOverdue(Now())) {
+    ++m_load.m_overdue_calls;
     OnRunnerAnswer(call, runs::RunnerAnswer());
   }
 }
