Route a call by a search of the sorted prefixes

Callers of the large site saw service fall for good once the configuration had 1,552 routes more: each submit, read and cancel compared its path with every prefix of its host and copied the host to compare it.

The prefixes of a host are now a sorted array in which each entry knows the longest other prefix that it starts with. The longest match is the greatest prefix that is not greater than the path, or one of its parents, so a lookup costs the logarithm of the prefixes plus the depth of their nesting. Hosts are compared without regard to case in place; only ASCII letters are folded, so that the state doesn't depend on the locale of a member.

An index by path segment was ruled out: prefixes need not end at a slash.

RouteEqualsTheScanOfAllPrefixes compares the lookup with a scan on random nested prefixes of 20 seeds.

--- a/include/bronzebarrow/jobs/queue_table.h
+++ b/include/bronzebarrow/jobs/queue_table.h
@@ -3,10 +3,12 @@
 #ifndef BRONZEBARROW_JOBS_QUEUE_TABLE_H_
 #define BRONZEBARROW_JOBS_QUEUE_TABLE_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "wire_generated.h"
 
@@ -30,9 +32,12 @@
   /**
    * @return the queue of the host whose path prefix is the longest one that
    * matches `path`; null if none matches
+   * @param compared if not null, is increased by the number of prefixes that
+   * `path` was compared with: at most the logarithm of the host's prefixes
+   * plus the depth of their nesting
    */
-  const wire::QueueSpecT* Route(std::string_view host,
-                                std::string_view path) const;
+  const wire::QueueSpecT* Route(std::string_view host, std::string_view path,
+                                std::size_t* compared = nullptr) const;
   const wire::QueueSpecT* Find(const std::string& name) const;
   /** @return the queue with exactly this host and path prefix, or null. */
   const wire::QueueSpecT* FindAt(std::string_view host,
@@ -40,13 +45,34 @@
   const wire::PoolSpecT* FindPool(const std::string& name) const;
 
  private:
+  struct PrefixEntry {
+    const wire::QueueSpecT* m_queue = nullptr;
+    // Index of the longest other prefix that this prefix starts with;
+    // kNoParent if there is none. Less than the index of this entry.
+    std::size_t m_parent = 0;
+  };
+  // Sorted by path prefix, without duplicates.
+  using PrefixEntries = std::vector<PrefixEntry>;
+
+  // Compares hosts without regard to case, so that a lookup need not copy the
+  // host.
+  struct HostLess {
+    using is_transparent = void;
+    bool operator()(std::string_view left, std::string_view right) const;
+  };
+
+  static constexpr std::size_t kNoParent = static_cast<std::size_t>(-1);
+
+  const PrefixEntries* FindHost(std::string_view host) const;
+  // Number of entries whose prefix is not greater than `path`.
+  static std::size_t CountUpTo(const PrefixEntries& entries,
+                               std::string_view path, std::size_t* compared);
+
   std::shared_ptr<const wire::FleetConfigT> m_config;
   // The pointers in the maps below refer to m_config.
 
-  // Queues by normalised host, then by path prefix.
-  std::map<std::string, std::map<std::string, const wire::QueueSpecT*>,
-           std::less<>>
-      m_queues_by_host;
+  // Queues by normalised host.
+  std::map<std::string, PrefixEntries, HostLess> m_queues_by_host;
   std::map<std::string, const wire::QueueSpecT*> m_queues_by_name;
   std::map<std::string, const wire::PoolSpecT*> m_pools_by_name;
 };
--- a/src/jobs/queue_table.cc
+++ b/src/jobs/queue_table.cc
@@ -2,22 +2,28 @@
 #include "bronzebarrow/jobs/queue_table.h"
 
 #include <algorithm>
-#include <cctype>
+#include <map>
 #include <set>
 #include <utility>
 
 namespace bronzebarrow::jobs {
 
+namespace {
+
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  return host.substr(0, host.rfind(':'));
+}
+
+}  // namespace
+
 std::string NormalizeHost(std::string_view host) {
-  const std::size_t colon = host.rfind(':');
-  if (colon != std::string_view::npos) {
-    host = host.substr(0, colon);
-  }
-  std::string normalized(host);
-  std::transform(
-      normalized.begin(), normalized.end(), normalized.begin(), [](char c) {
-        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-      });
+  std::string normalized(WithoutPort(host));
+  std::transform(normalized.begin(), normalized.end(), normalized.begin(),
+                 ToLower);
   return normalized;
 }
 
@@ -53,31 +59,79 @@
 
 QueueTable::QueueTable(wire::FleetConfigT config)
     : m_config(std::make_shared<wire::FleetConfigT>(std::move(config))) {
+  std::map<std::string, std::map<std::string_view, const wire::QueueSpecT*>>
+      sorted_queues;
   for (const auto& queue : m_config->queues) {
-    m_queues_by_host[NormalizeHost(queue->host)][queue->path_prefix] =
-        queue.get();
+    sorted_queues[NormalizeHost(queue->host)][queue->path_prefix] = queue.get();
     m_queues_by_name[queue->name] = queue.get();
   }
+  for (const auto& [host, queues] : sorted_queues) {
+    PrefixEntries& entries = m_queues_by_host[host];
+    entries.reserve(queues.size());
+    for (const auto& [prefix, queue] : queues) {
+      std::size_t parent = entries.empty() ? kNoParent : entries.size() - 1;
+      while (parent != kNoParent &&
+             !prefix.starts_with(entries[parent].m_queue->path_prefix)) {
+        parent = entries[parent].m_parent;
+      }
+      entries.push_back({queue, parent});
+    }
+  }
   for (const auto& pool : m_config->pools) {
     m_pools_by_name[pool->name] = pool.get();
   }
 }
 
+bool QueueTable::HostLess::operator()(std::string_view left,
+                                      std::string_view right) const {
+  return std::lexicographical_compare(
+      left.begin(), left.end(), right.begin(), right.end(),
+      [](char a, char b) { return ToLower(a) < ToLower(b); });
+}
+
+const QueueTable::PrefixEntries* QueueTable::FindHost(
+    std::string_view host) const {
+  const auto entries = m_queues_by_host.find(WithoutPort(host));
+  return entries == m_queues_by_host.end() ? nullptr : &entries->second;
+}
+
+std::size_t QueueTable::CountUpTo(const PrefixEntries& entries,
+                                  std::string_view path,
+                                  std::size_t* compared) {
+  const auto end = std::upper_bound(
+      entries.begin(), entries.end(), path,
+      [&](std::string_view text, const PrefixEntry& entry) {
+        if (compared != nullptr) {
+          ++*compared;
+        }
+        return text < std::string_view(entry.m_queue->path_prefix);
+      });
+  return static_cast<std::size_t>(end - entries.begin());
+}
+
+// All prefixes that lie between a matching prefix and the path in the order
+// start with that prefix. So the longest match is the greatest prefix that is
+// not greater than the path, or one of its parents.
 const wire::QueueSpecT* QueueTable::Route(std::string_view host,
-                                          std::string_view path) const {
-  const auto queues = m_queues_by_host.find(NormalizeHost(host));
-  if (queues == m_queues_by_host.end()) {
+                                          std::string_view path,
+                                          std::size_t* compared) const {
+  const PrefixEntries* const entries = FindHost(host);
+  if (entries == nullptr) {
     return nullptr;
   }
-  const wire::QueueSpecT* longest_match = nullptr;
-  for (const auto& [prefix, queue] : queues->second) {
-    if (path.starts_with(prefix) &&
-        (longest_match == nullptr ||
-         prefix.size() > longest_match->path_prefix.size())) {
-      longest_match = queue;
+  const std::size_t count = CountUpTo(*entries, path, compared);
+  std::size_t index = count == 0 ? kNoParent : count - 1;
+  while (index != kNoParent) {
+    const PrefixEntry& entry = (*entries)[index];
+    if (compared != nullptr) {
+      ++*compared;
+    }
+    if (path.starts_with(entry.m_queue->path_prefix)) {
+      return entry.m_queue;
     }
+    index = entry.m_parent;
   }
-  return longest_match;
+  return nullptr;
 }
 
 const wire::QueueSpecT* QueueTable::Find(const std::string& name) const {
@@ -87,12 +141,14 @@
 
 const wire::QueueSpecT* QueueTable::FindAt(
     std::string_view host, const std::string& path_prefix) const {
-  const auto queues = m_queues_by_host.find(NormalizeHost(host));
-  if (queues == m_queues_by_host.end()) {
+  const PrefixEntries* const entries = FindHost(host);
+  const std::size_t count =
+      entries == nullptr ? 0 : CountUpTo(*entries, path_prefix, nullptr);
+  if (count == 0) {
     return nullptr;
   }
-  const auto queue = queues->second.find(path_prefix);
-  return queue == queues->second.end() ? nullptr : queue->second;
+  const wire::QueueSpecT* const queue = (*entries)[count - 1].m_queue;
+  return queue->path_prefix == path_prefix ? queue : nullptr;
 }
 
 const wire::PoolSpecT* QueueTable::FindPool(const std::string& name) const {
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -2,6 +2,7 @@
 // round trip through its image.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <random>
 #include <set>
 
@@ -31,6 +32,8 @@
   CPPUNIT_TEST(RunThatIsBeingStoppedKeepsItsRoom);
   CPPUNIT_TEST(ConfigWithoutHigherVersionIsIgnored);
   CPPUNIT_TEST(RoutesByHostAndLongestPrefix);
+  CPPUNIT_TEST(RouteEqualsTheScanOfAllPrefixes);
+  CPPUNIT_TEST(RouteLooksAtFewPrefixes);
   CPPUNIT_TEST(InvalidConfigurationsAreRejected);
   CPPUNIT_TEST(PeriodicJobOpensOccurrences);
   CPPUNIT_TEST(GangCompletesWithOneMember);
@@ -309,6 +312,91 @@
     CPPUNIT_ASSERT(queues.Route("x.example", "/q/x") == nullptr);
   }
 
+  // Few letters, so that many prefixes are nested, also off '/' borders.
+  static std::string RandomPath(std::mt19937_64& random) {
+    std::string path = "/";
+    const std::size_t length = random() % 9;
+    for (std::size_t i = 0; i < length; ++i) {
+      path += "ab/\xff"[random() % 4];
+    }
+    return path;
+  }
+
+  static const wire::QueueSpecT* RouteByScan(const wire::FleetConfigT& config,
+                                             const std::string& host,
+                                             const std::string& path) {
+    const wire::QueueSpecT* longest = nullptr;
+    for (const auto& queue : config.queues) {
+      if (NormalizeHost(queue->host) == NormalizeHost(host) &&
+          path.starts_with(queue->path_prefix) &&
+          (longest == nullptr ||
+           queue->path_prefix.size() > longest->path_prefix.size())) {
+        longest = queue.get();
+      }
+    }
+    return longest;
+  }
+
+  static void AddQueue(wire::FleetConfigT& config, const std::string& host,
+                       const std::string& prefix) {
+    auto queue = std::make_unique<wire::QueueSpecT>();
+    queue->name = "queue-" + std::to_string(config.queues.size());
+    queue->host = host;
+    queue->path_prefix = prefix;
+    config.queues.push_back(std::move(queue));
+  }
+
+  void RouteEqualsTheScanOfAllPrefixes() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      std::mt19937_64 random(seed);
+      wire::FleetConfigT config;
+      std::set<std::pair<std::string, std::string>> used;
+      for (int i = 0; i < 60; ++i) {
+        const std::string host = random() % 2 == 0 ? "A.example" : "b.example";
+        const std::string prefix = RandomPath(random);
+        if (used.emplace(host, prefix).second) {
+          AddQueue(config, host, prefix);
+        }
+      }
+      const QueueTable table(config);
+      for (int i = 0; i < 1000; ++i) {
+        const char* const host = std::array{"a.EXAMPLE:80", "b.example",
+                                            "c.example", ":1"}[random() % 4];
+        const std::string path = RandomPath(random);
+        const wire::QueueSpecT* const expected =
+            RouteByScan(config, host, path);
+        const wire::QueueSpecT* const routed = table.Route(host, path);
+        CPPUNIT_ASSERT_EQUAL(expected == nullptr, routed == nullptr);
+        CPPUNIT_ASSERT(expected == nullptr || routed->name == expected->name);
+        const wire::QueueSpecT* const found = table.FindAt(host, path);
+        CPPUNIT_ASSERT_EQUAL(
+            used.contains(
+                {host == std::string("a.EXAMPLE:80") ? "A.example" : host,
+                 path}),
+            found != nullptr);
+        CPPUNIT_ASSERT(found == nullptr || found->path_prefix == path);
+      }
+    }
+  }
+
+  void RouteLooksAtFewPrefixes() {
+    wire::FleetConfigT config;
+    AddQueue(config, "h", "/");
+    for (int i = 0; i < 4000; ++i) {
+      AddQueue(config, "h", "/team-" + std::to_string(i) + "/");
+    }
+    const QueueTable table(config);
+    for (int i = 0; i < 5000; ++i) {
+      std::size_t compared = 0;
+      const wire::QueueSpecT* const queue =
+          table.Route("h", "/team-" + std::to_string(i) + "/job", &compared);
+      CPPUNIT_ASSERT(queue != nullptr);
+      CPPUNIT_ASSERT_EQUAL(i >= 4000, queue->path_prefix == "/");
+      // 12 for the search of 4,001 prefixes, and the nesting of two levels.
+      CPPUNIT_ASSERT(compared <= 15);
+    }
+  }
+
   void InvalidConfigurationsAreRejected() {
     auto config = MakeConfig(4);
     CPPUNIT_ASSERT_EQUAL(std::string(), ProblemOf(*config));
