Keep the runners of each machine in the index of machines

After a change of members or a loss of power all runners register again. Each registration and each removal compared its machine with those of all registered runners, on every member.

The index now holds the runners of each machine, the one that started last first, so that a registration costs the runners of its machine. A lookup by machine is one step instead of two.

--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -169,8 +169,10 @@
   void UpdateJobIndexes(const Job& job);
   // Marks the job as started, once.
   void MarkStarted(Job& job);
-  // Recomputes the machine's entry in m_latest_runner_of_machine.
-  void UpdateMachineIndex(const std::string& machine);
+  // Adds the runner to m_runners_by_machine under the machine of its record, or
+  // removes it. Not in the index while its record changes.
+  void AddToMachineIndex(const Runner& runner);
+  void RemoveFromMachineIndex(const Runner& runner);
   void FinishOccurrenceIfDone(Job& job, std::uint32_t number,
                               ApplyResult& applied);
 
@@ -195,9 +197,10 @@
   Runners m_runners;
   // By pool; no entry is empty. Derived from m_runners.
   std::map<std::string, RunnerIndex> m_runners_by_pool;
-  // For each machine, the id of its runner with the greatest born_ms. Derived
-  // from m_runners.
-  std::unordered_map<std::string, std::string> m_latest_runner_of_machine;
+  // By machine, the runner that started last first; of those that started at
+  // once, the one with the least id. No entry is empty. Derived from m_runners.
+  std::unordered_map<std::string, std::vector<const Runner*>>
+      m_runners_by_machine;
   std::map<std::uint64_t, UpkeepWave> m_waves;
 };
 
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -136,7 +136,7 @@
   m_suspects.clear();
   m_runners.clear();
   m_runners_by_pool.clear();
-  m_latest_runner_of_machine.clear();
+  m_runners_by_machine.clear();
   m_waves.clear();
   for (const auto& runner_image : image->runners) {
     Runner& runner = m_runners[runner_image->record->id];
@@ -145,12 +145,7 @@
   }
   for (const auto& [id, runner] : m_runners) {
     m_runners_by_pool[runner.m_record.pool][id] = &runner;
-    const Runner* const latest =
-        FindLatestRunnerOfMachine(runner.m_record.machine);
-    if (latest == nullptr ||
-        latest->m_record.born_ms < runner.m_record.born_ms) {
-      m_latest_runner_of_machine[runner.m_record.machine] = id;
-    }
+    AddToMachineIndex(runner);
   }
   for (const auto& job_image : image->jobs) {
     const JobId id = ParseJobId(job_image->spec->id).value_or(0);
--- a/src/jobs/work_runners.cc
+++ b/src/jobs/work_runners.cc
@@ -36,14 +36,11 @@
   } else {
     existing = m_runners.emplace(record->id, Runner()).first;
   }
-  const std::string previous_machine = existing->second.m_record.machine;
   RemoveFromPoolIndex(existing->second);
+  RemoveFromMachineIndex(existing->second);
   existing->second.m_record = *record;
   m_runners_by_pool[record->pool][record->id] = &existing->second;
-  UpdateMachineIndex(record->machine);
-  if (previous_machine != record->machine) {
-    UpdateMachineIndex(previous_machine);
-  }
+  AddToMachineIndex(existing->second);
   applied.m_changed = true;
 }
 
@@ -62,10 +59,9 @@
   RecordCrash(remove.older_runs, false, runner->second);
   EndRunsAsLost(runner->second, applied);
   GiveUpTasksToBlame(remove, applied);
-  const std::string machine = runner->second.m_record.machine;
   RemoveFromPoolIndex(runner->second);
+  RemoveFromMachineIndex(runner->second);
   m_runners.erase(runner);
-  UpdateMachineIndex(machine);
   applied.m_changed = true;
 }
 
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -60,24 +60,30 @@
 
 const Runner* WorkState::FindLatestRunnerOfMachine(
     const std::string& machine) const {
-  const auto found = m_latest_runner_of_machine.find(machine);
-  return found == m_latest_runner_of_machine.end() ? nullptr
-                                                   : FindRunner(found->second);
+  const auto found = m_runners_by_machine.find(machine);
+  return found == m_runners_by_machine.end() ? nullptr : found->second.front();
 }
 
-void WorkState::UpdateMachineIndex(const std::string& machine) {
-  const Runner* latest = nullptr;
-  for (const auto& [id, runner] : m_runners) {
-    if (runner.m_record.machine == machine &&
-        (latest == nullptr ||
-         runner.m_record.born_ms > latest->m_record.born_ms)) {
-      latest = &runner;
-    }
+void WorkState::AddToMachineIndex(const Runner& runner) {
+  auto& runners = m_runners_by_machine[runner.m_record.machine];
+  const auto starts_before = [](const Runner* a, const Runner* b) {
+    return a->m_record.born_ms != b->m_record.born_ms
+               ? a->m_record.born_ms > b->m_record.born_ms
+               : a->m_record.id < b->m_record.id;
+  };
+  runners.insert(
+      std::lower_bound(runners.begin(), runners.end(), &runner, starts_before),
+      &runner);
+}
+
+void WorkState::RemoveFromMachineIndex(const Runner& runner) {
+  const auto found = m_runners_by_machine.find(runner.m_record.machine);
+  if (found == m_runners_by_machine.end()) {
+    return;
   }
-  if (latest == nullptr) {
-    m_latest_runner_of_machine.erase(machine);
-  } else {
-    m_latest_runner_of_machine[machine] = latest->m_record.id;
+  std::erase(found->second, &runner);
+  if (found->second.empty()) {
+    m_runners_by_machine.erase(found);
   }
 }
 
@@ -171,7 +177,28 @@
   for (const auto& [id, runner] : m_runners) {
     by_pool[runner.m_record.pool][id] = &runner;
   }
-  return by_pool == m_runners_by_pool ? "" : "runners by pool";
+  if (by_pool != m_runners_by_pool) {
+    return "runners by pool";
+  }
+  std::map<std::string, const Runner*> latest;
+  std::size_t indexed = 0;
+  for (const auto& [id, runner] : m_runners) {
+    const Runner*& last = latest[runner.m_record.machine];
+    if (last == nullptr || runner.m_record.born_ms > last->m_record.born_ms) {
+      last = &runner;
+    }
+  }
+  for (const auto& [machine, runners] : m_runners_by_machine) {
+    indexed += runners.size();
+  }
+  const bool finds_latest =
+      std::all_of(latest.begin(), latest.end(), [&](const auto& item) {
+        return FindLatestRunnerOfMachine(item.first) == item.second;
+      });
+  return finds_latest && indexed == m_runners.size() &&
+                 latest.size() == m_runners_by_machine.size()
+             ? ""
+             : "runners by machine";
 }
 
 void WorkState::TakeOwnership(const wire::WorkBodyUnion& body,
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(TaskKeyTextRoundTrips);
   CPPUNIT_TEST(ImageRoundTripPreservesState);
   CPPUNIT_TEST(IndexesEqualTheirRecomputation);
+  CPPUNIT_TEST(RunnersThatChangeMachinesStayIndexed);
   CPPUNIT_TEST(LoadedStateContinuesLikeItsOriginal);
   CPPUNIT_TEST_SUITE_END();
 
@@ -590,6 +591,31 @@
     }
   }
 
+  void RunnersThatChangeMachinesStayIndexed() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      setUp();
+      std::mt19937_64 random(seed);
+      for (int i = 0; i < 60; ++i) {
+        const std::string id = "r" + std::to_string(random() % 5);
+        const Runner* const runner = m_state->FindRunner(id);
+        if (runner != nullptr && random() % 4 == 0) {
+          wire::RemoveRunnerT remove;
+          remove.runner = id;
+          remove.born_ms = runner->m_record.born_ms;
+          Apply(std::move(remove));
+        } else {
+          RegisterRunner(id, 1 + random() % 4,
+                         "m" + std::to_string(random() % 3));
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                     std::string(), m_state->FindIndexError());
+      }
+      WorkState copy;
+      CPPUNIT_ASSERT(copy.Load(m_state->Image()));
+      CPPUNIT_ASSERT_EQUAL(std::string(), copy.FindIndexError());
+    }
+  }
+
   // Gangs, occurrences, changes of the configuration and restarts of runners,
   // with a restart of the member after each command.
   void LoadedStateContinuesLikeItsOriginal() {
@@ -728,12 +754,14 @@
     return m_state->Apply(wrapped, ++m_index);
   }
 
-  void RegisterRunner(const std::string& id, std::uint64_t born) {
+  void RegisterRunner(const std::string& id, std::uint64_t born,
+                      const std::string& machine = "") {
     wire::RegisterRunnerT runner;
     runner.runner = std::make_unique<wire::RunnerRecordT>();
     runner.runner->id = id;
     runner.runner->born_ms = born;
     runner.runner->pool = "pool";
+    runner.runner->machine = machine;
     runner.runner->cpu_milli = 16'000;
     Apply(std::move(runner));
   }
