Count the unavailable tasks of a step once per tick

During waves the selection of machines and the checks of budgets took a fifth of a member's processor time. For each machine that could be started, the scan looked up every run, and for each run with a budget all tasks of its step; it was repeated for every free place of the wave and for every drain.

AvailabilityBudget counts the unavailable tasks of a step at the first question of a tick and counts an evicted task at once, so that two evictions in one tick cannot use the same place. Nothing else changes availability within a tick. A runner without a task that has a budget is not scanned, one scan serves all free places of a wave, since no start of an operation changes the order of the rest, and a completed wave is skipped by its count of open machines.

The cost of a tick was not measured.

--- a/include/bronzebarrow/jobs/runner.h
+++ b/include/bronzebarrow/jobs/runner.h
@@ -42,6 +42,7 @@
   Resources m_used;                // Sum of the resources of m_assigned.
   std::size_t m_long_running = 0;  // Long-running tasks among m_assigned.
   Resources m_long_running_used;   // Sum of the resources of these.
+  std::size_t m_budgeted = 0;      // Of m_assigned, in steps with a may_miss.
 
   /** @return whether a task that ends on its own is assigned. */
   bool HasFiniteTasks() const { return m_assigned.size() > m_long_running; }
--- a/include/bronzebarrow/jobs/upkeep.h
+++ b/include/bronzebarrow/jobs/upkeep.h
@@ -26,17 +26,20 @@
 };
 
 struct UpkeepWave {
-  std::uint64_t m_wave = 0;  // Id of the wave.
-  std::map<std::string, UpkeepState> m_machines;
+  std::uint64_t m_wave = 0;                       // Id of the wave.
+  std::map<std::string, UpkeepState> m_machines;  // Changed by SetState.
   // By machine: the runner that was registered when its upkeep was first
   // requested. Only its end follows from an answer that the upkeep was carried
   // out, as a repeated request gets that answer too.
   std::map<std::string, RunnerLife> m_lives_before;
   std::uint64_t m_complete_by_ms = 0;  // Deadline in Unix milliseconds.
   std::uint32_t m_cap = 1;             // Most machines in upkeep at once.
+  std::size_t m_open = 0;  // Of m_machines, neither done nor skipped.
 
+  /** Adds the machine, or changes its state. */
+  void SetState(const std::string& machine, UpkeepState state);
   /** @return whether every machine is done or skipped. */
-  bool IsCompleted() const;
+  bool IsCompleted() const { return m_open == 0; }
 };
 
 }  // namespace bronzebarrow::jobs
--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -17,6 +17,7 @@
 #include "bronzebarrow/base/time.h"
 #include "bronzebarrow/fleet/machine.h"
 #include "bronzebarrow/jobs.h"
+#include "bronzebarrow/node/availability_budget.h"
 #include "bronzebarrow/placement.h"
 #include "bronzebarrow/runs.h"
 
@@ -69,7 +70,8 @@
                  MachineOptions options)
       : m_state(state),
         m_dispatcher(dispatcher),
-        m_options(std::move(options)) {}
+        m_options(std::move(options)),
+        m_budget(state, dispatcher) {}
 
   /** Starts to own all machines; `epoch` is the fencing token of requests. */
   void BecomeLeader(std::uint64_t epoch, Instant now);
@@ -149,10 +151,8 @@
     std::uint64_t m_born_ms = 0;
   };
 
-  bool MayEvict(const jobs::TaskKey& task) const;
-  bool IsAvailable(const jobs::TaskKey& key, const jobs::Task& task) const;
-  std::uint32_t CountProtectedTasks(const jobs::Runner& runner) const;
-  bool EvictLongRunningTasks(const jobs::Runner& runner, Instant now);
+  std::uint32_t CountProtectedTasks(const jobs::Runner& runner);
+  bool EvictLongRunningTasks(const jobs::Runner& runner);
   void SelectForUpkeep(const jobs::UpkeepWave& wave, Instant now);
   Operation& StartOperation(const std::string& machine,
                             const jobs::Runner* runner, Instant now);
@@ -181,6 +181,7 @@
   const jobs::WorkState& m_state;
   runs::Dispatcher& m_dispatcher;
   MachineOptions m_options;
+  AvailabilityBudget m_budget;
   std::uint64_t m_epoch = 0;  // 0: this member is not the owner.
   Instant m_now;              // Time of the last tick.
   PlanProgress m_plans;       // Progress at the last tick.
--- a/src/jobs/runner.cc
+++ b/src/jobs/runner.cc
@@ -1,8 +1,6 @@
 // Free resources of runners and completion of upkeep waves.
 #include "bronzebarrow/jobs/runner.h"
 
-#include <algorithm>
-
 #include "bronzebarrow/jobs/upkeep.h"
 
 namespace bronzebarrow::jobs {
@@ -21,12 +19,16 @@
   return free;
 }
 
-bool UpkeepWave::IsCompleted() const {
-  return std::all_of(m_machines.begin(), m_machines.end(),
-                     [](const auto& machine) {
-                       return machine.second == UpkeepState::kDone ||
-                              machine.second == UpkeepState::kSkipped;
-                     });
+void UpkeepWave::SetState(const std::string& machine, UpkeepState state) {
+  const auto is_open = [](UpkeepState s) {
+    return s == UpkeepState::kDue || s == UpkeepState::kRequested;
+  };
+  const auto [entry, is_new] = m_machines.try_emplace(machine, state);
+  if (!is_new && is_open(entry->second)) {
+    --m_open;
+  }
+  entry->second = state;
+  m_open += is_open(state) ? 1 : 0;
 }
 
 }  // namespace bronzebarrow::jobs
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -191,8 +191,7 @@
     wave.m_complete_by_ms = wave_image->complete_by_ms;
     wave.m_cap = wave_image->cap;
     for (const auto& machine : wave_image->machines) {
-      wave.m_machines[machine->machine] =
-          static_cast<UpkeepState>(machine->state);
+      wave.SetState(machine->machine, static_cast<UpkeepState>(machine->state));
       if (!machine->runner.empty()) {
         wave.m_lives_before[machine->machine] = {machine->runner,
                                                  machine->born_ms};
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -511,6 +511,7 @@
                               Runner& runner) {
   runner.m_assigned[run.m_task] = run.m_run;
   runner.m_used.Add(ResourcesOf(step), 1);
+  runner.m_budgeted += step.may_miss > 0 ? 1 : 0;
   if (step.lasting) {
     ++runner.m_long_running;
     runner.m_long_running_used.Add(ResourcesOf(step), 1);
@@ -526,6 +527,7 @@
   }
   if (const wire::StepSpecT* const step = FindStep(key)) {
     assignee->second.m_used.Add(ResourcesOf(*step), -1);
+    assignee->second.m_budgeted -= step->may_miss > 0 ? 1 : 0;
     if (step->lasting) {
       --assignee->second.m_long_running;
       assignee->second.m_long_running_used.Add(ResourcesOf(*step), -1);
@@ -560,7 +562,7 @@
   wave.m_complete_by_ms = start.complete_by_ms;
   wave.m_cap = std::max(start.cap, 1U);
   for (const std::string& machine : start.machines) {
-    wave.m_machines[machine] = UpkeepState::kDue;
+    wave.SetState(machine, UpkeepState::kDue);
   }
   if (m_waves.size() > kMaxKeptWaves) {
     const auto done = std::find_if(
@@ -593,9 +595,10 @@
                                                      runner->m_record.born_ms};
     }
   }
-  machine->second = record.skipped ? UpkeepState::kSkipped
-                    : record.done  ? UpkeepState::kDone
-                                   : UpkeepState::kRequested;
+  wave->second.SetState(record.machine, record.skipped ? UpkeepState::kSkipped
+                                        : record.done
+                                            ? UpkeepState::kDone
+                                            : UpkeepState::kRequested);
   applied.m_changed = true;
 }
 
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -11,11 +11,6 @@
 namespace bronzebarrow::node {
 namespace {
 
-// A long-running task is available when its runner reported it at full progress
-// within this time. Runners report at least once a second: a hold call (lease
-// renewal, long poll) returns after at most that time.
-constexpr Duration kMaxReportAge = Millis(2500);
-constexpr std::uint32_t kFullProgressPercent = 100;
 constexpr Duration kLogInterval = Millis(500);
 // Moves that may begin at once, and moves that may follow per second, as shares
 // of the platform's request rate. Their sum keeps any second within the rate.
@@ -101,57 +96,18 @@
                      });
 }
 
-bool MachinePlanner::IsAvailable(const jobs::TaskKey& key,
-                                 const jobs::Task& task) const {
-  const runs::RunnerLink* const link =
-      task.m_state == jobs::TaskState::kAssigned
-          ? m_dispatcher.FindLink(task.m_runner)
-          : nullptr;
-  if (link == nullptr) {
-    return false;
-  }
-  const auto tracked_run = link->m_tracked_runs.find(key);
-  return tracked_run != link->m_tracked_runs.end() &&
-         !tracked_run->second.m_stop_requested &&
-         tracked_run->second.m_state == runs::TrackedRunState::kStarted &&
-         tracked_run->second.m_progress >= kFullProgressPercent &&
-         m_now < tracked_run->second.m_reported_at + kMaxReportAge;
-}
-
-// Checks the availability budget of the task's step: the task may be evicted
-// while fewer than `may_miss` other tasks of the step are unavailable. Evicting
-// a task that is itself unavailable does not use up the budget.
-bool MachinePlanner::MayEvict(const jobs::TaskKey& key) const {
-  const wire::StepSpecT* const step = m_state.FindStep(key);
-  const jobs::Job* const job = m_state.FindJob(key.m_job);
-  if (step == nullptr || step->may_miss == 0 ||
-      job->m_state != jobs::JobState::kActive) {
-    return true;
-  }
-  const auto& tasks =
-      job->m_occurrences.at(key.m_occurrence).m_steps[key.m_step].m_tasks;
-  std::uint32_t unavailable = 0;
-  for (std::size_t index = 0; index < tasks.size(); ++index) {
-    if (index != key.m_index) {
-      jobs::TaskKey other = key;
-      other.m_index = static_cast<std::uint16_t>(index);
-      unavailable += IsAvailable(other, tasks[index]) ? 0 : 1;
-    }
+std::uint32_t MachinePlanner::CountProtectedTasks(const jobs::Runner& runner) {
+  if (runner.m_budgeted == 0) {
+    return 0;
   }
-  return unavailable < step->may_miss;
-}
-
-std::uint32_t MachinePlanner::CountProtectedTasks(
-    const jobs::Runner& runner) const {
-  return static_cast<std::uint32_t>(
-      std::count_if(runner.m_assigned.begin(), runner.m_assigned.end(),
-                    [&](const auto& item) { return !MayEvict(item.first); }));
+  return static_cast<std::uint32_t>(std::count_if(
+      runner.m_assigned.begin(), runner.m_assigned.end(),
+      [&](const auto& item) { return !m_budget.MayEvict(item.first); }));
 }
 
 // Stops long-running tasks as their budgets permit, so that they are placed on
 // other runners. @return whether none is left.
-bool MachinePlanner::EvictLongRunningTasks(const jobs::Runner& runner,
-                                           Instant now) {
+bool MachinePlanner::EvictLongRunningTasks(const jobs::Runner& runner) {
   if (runner.m_long_running == 0) {
     return true;
   }
@@ -160,8 +116,8 @@
     if (step == nullptr || !step->lasting) {
       continue;
     }
-    if (MayEvict(task)) {
-      m_dispatcher.StopRun(runner.m_record.id, task, now);
+    if (m_budget.MayEvict(task)) {
+      m_budget.Evict(runner.m_record.id, task);
     }
   }
   return false;
@@ -247,7 +203,11 @@
   if (m_epoch == 0) {
     return;
   }
+  m_budget.BeginTick(now);
   for (const auto& [number, wave] : m_state.waves()) {
+    if (wave.IsCompleted()) {
+      continue;
+    }
     for (const auto& [machine, state] : wave.m_machines) {
       if (state == jobs::UpkeepState::kRequested &&
           !m_operations.contains(machine)) {
@@ -258,9 +218,7 @@
             .m_wave = number;
       }
     }
-    if (!wave.IsCompleted()) {
-      SelectForUpkeep(wave, now);
-    }
+    SelectForUpkeep(wave, now);
   }
   if (now >= m_next_balance) {
     m_next_balance = now + m_options.m_balance_interval;
@@ -299,36 +257,47 @@
                   ? 1
                   : 0;
   }
-  while (active < wave.m_cap) {
-    // Prefers machines without a runner, then those with the fewest tasks that
-    // their budgets protect, then those with the least CPU in use.
-    std::string best;
-    const jobs::Runner* best_runner = nullptr;
-    std::tuple<std::uint32_t, std::int64_t> best_score;
-    for (const auto& [machine, state] : wave.m_machines) {
-      if (state != jobs::UpkeepState::kDue || m_operations.contains(machine)) {
-        continue;
-      }
-      const jobs::Runner* const runner =
-          m_state.FindLatestRunnerOfMachine(machine);
-      if (runner != nullptr && runner->m_record.draining) {
-        continue;
-      }
-      std::tuple<std::uint32_t, std::int64_t> score;
-      if (runner != nullptr) {
-        score = {CountProtectedTasks(*runner), runner->m_used.m_cpu_milli};
-      }
-      if (best.empty() || score < best_score) {
-        best = machine;
-        best_runner = runner;
-        best_score = score;
-      }
+  if (active >= wave.m_cap) {
+    return;
+  }
+  // Prefers machines without a runner, then those with the fewest tasks that
+  // their budgets protect, then those with the least CPU in use. No start of an
+  // operation changes these within a tick, so one look at each is enough.
+  struct Choice {
+    std::uint32_t m_protected = 0;
+    std::int64_t m_used_milli = 0;
+    const std::string* m_machine = nullptr;
+    const jobs::Runner* m_runner = nullptr;
+  };
+  std::vector<Choice> choices;
+  for (const auto& [machine, state] : wave.m_machines) {
+    if (state != jobs::UpkeepState::kDue || m_operations.contains(machine)) {
+      continue;
+    }
+    const jobs::Runner* const runner =
+        m_state.FindLatestRunnerOfMachine(machine);
+    if (runner != nullptr && runner->m_record.draining) {
+      continue;
+    }
+    Choice& choice = choices.emplace_back();
+    choice.m_machine = &machine;
+    choice.m_runner = runner;
+    if (runner != nullptr) {
+      choice.m_protected = CountProtectedTasks(*runner);
+      choice.m_used_milli = runner->m_used.m_cpu_milli;
     }
-    if (best.empty()) {
+  }
+  std::stable_sort(choices.begin(), choices.end(),
+                   [](const Choice& a, const Choice& b) {
+                     return std::tie(a.m_protected, a.m_used_milli) <
+                            std::tie(b.m_protected, b.m_used_milli);
+                   });
+  for (const Choice& choice : choices) {
+    if (active >= wave.m_cap) {
       return;
     }
-    Operation& operation = StartOperation(best, best_runner, now);
-    operation.m_wave = wave.m_wave;
+    StartOperation(*choice.m_machine, choice.m_runner, now).m_wave =
+        wave.m_wave;
     ++active;
   }
 }
@@ -415,7 +384,7 @@
   }
   const bool waited =
       now >= operation.m_timer_start + m_options.m_drain_timeout;
-  return EvictLongRunningTasks(*runner, now) &&
+  return EvictLongRunningTasks(*runner) &&
          (!runner->HasFiniteTasks() || waited);
 }
 
