--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -2,6 +2,7 @@
 // round trip through its image.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <random>
 #include <set>
 
@@ -31,6 +32,8 @@
   CPPUNIT_TEST(RunThatIsBeingStoppedKeepsItsRoom);
   CPPUNIT_TEST(ConfigWithoutHigherVersionIsIgnored);
   CPPUNIT_TEST(RoutesByHostAndLongestPrefix);
+  CPPUNIT_TEST(RouteEqualsTheScanOfAllPrefixes);
+  CPPUNIT_TEST(RouteLooksAtFewPrefixes);
   CPPUNIT_TEST(InvalidConfigurationsAreRejected);
   CPPUNIT_TEST(PeriodicJobOpensOccurrences);
   CPPUNIT_TEST(GangCompletesWithOneMember);
@@ -39,6 +42,7 @@
   CPPUNIT_TEST(TaskKeyTextRoundTrips);
   CPPUNIT_TEST(ImageRoundTripPreservesState);
   CPPUNIT_TEST(IndexesEqualTheirRecomputation);
+  CPPUNIT_TEST(RunnersThatChangeMachinesStayIndexed);
   CPPUNIT_TEST(LoadedStateContinuesLikeItsOriginal);
   CPPUNIT_TEST_SUITE_END();
 
@@ -309,6 +313,91 @@
     CPPUNIT_ASSERT(queues.Route("x.example", "/q/x") == nullptr);
   }
 
+  // Few letters, so that many prefixes are nested, also off '/' borders.
+  static std::string RandomPath(std::mt19937_64& random) {
+    std::string path = "/";
+    const std::size_t length = random() % 9;
+    for (std::size_t i = 0; i < length; ++i) {
+      path += "ab/\xff"[random() % 4];
+    }
+    return path;
+  }
+
+  static const wire::QueueSpecT* RouteByScan(const wire::FleetConfigT& config,
+                                             const std::string& host,
+                                             const std::string& path) {
+    const wire::QueueSpecT* longest = nullptr;
+    for (const auto& queue : config.queues) {
+      if (NormalizeHost(queue->host) == NormalizeHost(host) &&
+          path.starts_with(queue->path_prefix) &&
+          (longest == nullptr ||
+           queue->path_prefix.size() > longest->path_prefix.size())) {
+        longest = queue.get();
+      }
+    }
+    return longest;
+  }
+
+  static void AddQueue(wire::FleetConfigT& config, const std::string& host,
+                       const std::string& prefix) {
+    auto queue = std::make_unique<wire::QueueSpecT>();
+    queue->name = "queue-" + std::to_string(config.queues.size());
+    queue->host = host;
+    queue->path_prefix = prefix;
+    config.queues.push_back(std::move(queue));
+  }
+
+  void RouteEqualsTheScanOfAllPrefixes() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      std::mt19937_64 random(seed);
+      wire::FleetConfigT config;
+      std::set<std::pair<std::string, std::string>> used;
+      for (int i = 0; i < 60; ++i) {
+        const std::string host = random() % 2 == 0 ? "A.example" : "b.example";
+        const std::string prefix = RandomPath(random);
+        if (used.emplace(host, prefix).second) {
+          AddQueue(config, host, prefix);
+        }
+      }
+      const QueueTable table(config);
+      for (int i = 0; i < 1000; ++i) {
+        const char* const host = std::array{"a.EXAMPLE:80", "b.example",
+                                            "c.example", ":1"}[random() % 4];
+        const std::string path = RandomPath(random);
+        const wire::QueueSpecT* const expected =
+            RouteByScan(config, host, path);
+        const wire::QueueSpecT* const routed = table.Route(host, path);
+        CPPUNIT_ASSERT_EQUAL(expected == nullptr, routed == nullptr);
+        CPPUNIT_ASSERT(expected == nullptr || routed->name == expected->name);
+        const wire::QueueSpecT* const found = table.FindAt(host, path);
+        CPPUNIT_ASSERT_EQUAL(
+            used.contains(
+                {host == std::string("a.EXAMPLE:80") ? "A.example" : host,
+                 path}),
+            found != nullptr);
+        CPPUNIT_ASSERT(found == nullptr || found->path_prefix == path);
+      }
+    }
+  }
+
+  void RouteLooksAtFewPrefixes() {
+    wire::FleetConfigT config;
+    AddQueue(config, "h", "/");
+    for (int i = 0; i < 4000; ++i) {
+      AddQueue(config, "h", "/team-" + std::to_string(i) + "/");
+    }
+    const QueueTable table(config);
+    for (int i = 0; i < 5000; ++i) {
+      std::size_t compared = 0;
+      const wire::QueueSpecT* const queue =
+          table.Route("h", "/team-" + std::to_string(i) + "/job", &compared);
+      CPPUNIT_ASSERT(queue != nullptr);
+      CPPUNIT_ASSERT_EQUAL(i >= 4000, queue->path_prefix == "/");
+      // 12 for the search of 4,001 prefixes, and the nesting of two levels.
+      CPPUNIT_ASSERT(compared <= 15);
+    }
+  }
+
   void InvalidConfigurationsAreRejected() {
     auto config = MakeConfig(4);
     CPPUNIT_ASSERT_EQUAL(std::string(), ProblemOf(*config));
@@ -502,6 +591,31 @@
     }
   }
 
+  void RunnersThatChangeMachinesStayIndexed() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      setUp();
+      std::mt19937_64 random(seed);
+      for (int i = 0; i < 60; ++i) {
+        const std::string id = "r" + std::to_string(random() % 5);
+        const Runner* const runner = m_state->FindRunner(id);
+        if (runner != nullptr && random() % 4 == 0) {
+          wire::RemoveRunnerT remove;
+          remove.runner = id;
+          remove.born_ms = runner->m_record.born_ms;
+          Apply(std::move(remove));
+        } else {
+          RegisterRunner(id, 1 + random() % 4,
+                         "m" + std::to_string(random() % 3));
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                     std::string(), m_state->FindIndexError());
+      }
+      WorkState copy;
+      CPPUNIT_ASSERT(copy.Load(m_state->Image()));
+      CPPUNIT_ASSERT_EQUAL(std::string(), copy.FindIndexError());
+    }
+  }
+
   // Gangs, occurrences, changes of the configuration and restarts of runners,
   // with a restart of the member after each command.
   void LoadedStateContinuesLikeItsOriginal() {
@@ -640,12 +754,14 @@
     return m_state->Apply(wrapped, ++m_index);
   }
 
-  void RegisterRunner(const std::string& id, std::uint64_t born) {
+  void RegisterRunner(const std::string& id, std::uint64_t born,
+                      const std::string& machine = "") {
     wire::RegisterRunnerT runner;
     runner.runner = std::make_unique<wire::RunnerRecordT>();
     runner.runner->id = id;
     runner.runner->born_ms = born;
     runner.runner->pool = "pool";
+    runner.runner->machine = machine;
     runner.runner->cpu_milli = 16'000;
     Apply(std::move(runner));
   }
