Renew a runner's lease while its ends are being committed

Holds are now sent then, too, at most one each third of a lease, because a runner with ends that are not acknowledged answers at once. They acknowledge what is recorded, and a list that only repeats ends that are proposed proposes nothing again. Ruled out: holds at the usual pace, which would be a busy loop, and an acknowledgement of ends that are not recorded, which a new owner would lose.

LeaseIsRenewedWhileEndsAreCommitted (ends_of_runners_test) failed before: the other run of the runner lapsed. Run after the change: ends_of_runners_test, dispatcher_test, work_core_test and runner_ends_test pass.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -171,6 +171,7 @@
   jobs::CrashEvidence AssessCrash(const RunnerLink& link,
                                   bool has_other_causes) const;
   Instant LeaseExpiry(const RunnerLink& link) const;
+  Instant NextHold(const RunnerLink& link) const;
   RunnerCall MakeCall(CallKind kind, const std::string& runner,
                       RunnerLink& link, Instant now) const;
   void SendStart(const std::string& runner, RunnerLink& link,
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -105,6 +105,7 @@
   std::uint64_t m_last_processed_end = 0;
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
   Instant m_next_hold;
+  Instant m_last_hold;  // When the last one was sent.
   Instant m_last_answer;
   // When the first call since the last answer failed; unset if none has.
   Instant m_silent_since;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -16,6 +16,8 @@
 // covers the delay of the clock reading.
 constexpr double kSlowestClockRate = 0.98;
 constexpr Duration kExpiryMargin = Millis(150);
+// Holds for each lease while reported ends are committed.
+constexpr int kRenewalsPerLease = 3;
 // Start calls sent for one run before it is stopped and its task is assigned
 // again.
 constexpr std::uint32_t kMaxStartAttempts = 2;
@@ -177,6 +179,16 @@
   return expiry;
 }
 
+// A runner answers at once while it has ends that are not acknowledged. Until
+// those are recorded, holds only keep its lease.
+Instant Dispatcher::NextHold(const RunnerLink& link) const {
+  return link.m_ends_proposed && link.m_consecutive_timeouts == 0
+             ? std::max(
+                   link.m_next_hold,
+                   link.m_last_hold + m_options.m_lease / kRenewalsPerLease)
+             : link.m_next_hold;
+}
+
 RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string& runner,
                                 RunnerLink& link, Instant now) const {
   RunnerCall call;
@@ -248,6 +260,7 @@
       may_wait ? static_cast<std::uint32_t>(ToMillis(m_options.m_hold_wait))
                : 0;
   link.m_hold_in_flight = true;
+  link.m_last_hold = now;
   m_calls.push_back(std::move(call));
 }
 
@@ -483,8 +496,7 @@
       return;
     }
   }
-  if (!link.m_hold_in_flight && !link.m_ends_proposed &&
-      now >= link.m_next_hold) {
+  if (!link.m_hold_in_flight && now >= NextHold(link)) {
     SendHold(runner, link, now);
   }
   const bool unresponsive = now - link.m_last_answer >
@@ -915,7 +927,9 @@
       ends.seen > acknowledgeable || acknowledgeable != kAllEnds;
   ends.seen =
       std::max(call.m_last_recorded_end, std::min(ends.seen, acknowledgeable));
-  if (ends.seen > call.m_last_recorded_end || !ends.ends.empty()) {
+  const bool acknowledges_more =
+      ends.seen > call.m_last_recorded_end && !link.m_ends_proposed;
+  if (acknowledges_more || !ends.ends.empty()) {
     link.m_ends_proposed = true;
     link.m_next_hold = now + m_options.m_end_batch_delay;
     m_commands.emplace_back().Set(std::move(ends));
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(StopAnsweredByTheEarlierIncarnation);
   CPPUNIT_TEST(ListOfTheNextIncarnationFromBeforeTheStop);
   CPPUNIT_TEST(OtherMembersOfAGangWorkOn);
+  CPPUNIT_TEST(LeaseIsRenewedWhileEndsAreCommitted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -503,7 +504,50 @@
     CPPUNIT_ASSERT(IsAssigned(Run(1, 1)) && IsAssigned(Run(1, 2)));
   }
 
+  // Guards against leases that expire because ends take long to commit, and
+  // against a busy loop: a runner with ends that are not recorded answers holds
+  // at once.
+  void LeaseIsRenewedWhileEndsAreCommitted() {
+    Assign(1, 2, Id(0));
+    Work(Millis(500));
+    Execute(Stop(Run(1, 1)));
+    std::vector<wire::WorkBodyUnion> uncommitted;
+    std::size_t holds = 0;
+    for (const Instant end = m_now + Millis(12'000); m_now < end;) {
+      m_now += kStep;
+      m_runners.at(Id(0))->AdvanceTo(m_now);
+      m_dispatcher->Tick(m_now);
+      for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+        holds += call.m_runner == Id(0) ? 1 : 0;
+        CPPUNIT_ASSERT(call.AcknowledgedEnd() == 0);
+        m_dispatcher->OnAnswer(call, Execute(call), m_now);
+      }
+      for (wire::WorkBodyUnion& body : CheckCommands()) {
+        uncommitted.push_back(std::move(body));
+      }
+    }
+    CPPUNIT_ASSERT(IsRunning(Run(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, uncommitted.size());
+    CPPUNIT_ASSERT(holds <= 9);  // One each third of a lease.
+    ApplyBody(std::move(uncommitted[0]));
+    Work(Millis(500));
+    CPPUNIT_ASSERT(m_lost.empty());
+    CPPUNIT_ASSERT(IsRunning(Run(1)) && IsAssigned(Run(1)));
+    CPPUNIT_ASSERT(!IsAssigned(Run(1, 1)));
+  }
+
  private:
+  // @return a call that ends the run at its runner; the owner knows nothing
+  RunnerCall Stop(const jobs::RunKey& run) const {
+    RunnerCall call;
+    call.m_kind = CallKind::kStop;
+    call.m_runner = Id(0);
+    call.m_born_ms = kBornMs;
+    call.m_epoch = m_state->epoch();
+    call.m_run = run;
+    return call;
+  }
+
   // @return a start of Run(1) that has not arrived; the owner waits no longer
   RunnerCall StartThatTimesOut() {
     Assign(1, 1, Id(0));
