Ask a runner before its lease is taken for expired

An owner that was short of processor time, or whose hold was in flight, had not asked. A lease is now taken for expired only if a call sent since the last answer has failed or another incarnation has answered it; this covers inherited leases too. A runner that was not asked is asked with a hold that grants no lease and does not wait, and its list decides. A grant there would postpone the lapse of a runner that is gone by another lease. Ruled out: judging by m_silent_since, which a call from before the last answer sets.

RunnerThatWasNotAskedIsAskedFirst, FailureOfAnEarlierCallIsNoProofOfSilence and InheritedRunnerThatWasNotAskedIsAskedFirst (ends_of_runners_test) failed before. Run after the change: ends_of_runners_test, dispatcher_test, work_core_test and runner_ends_test pass.

--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -171,6 +171,9 @@
   jobs::CrashEvidence AssessCrash(const RunnerLink& link,
                                   bool has_other_causes) const;
   Instant LeaseExpiry(const RunnerLink& link) const;
+  // Whether its last lease has expired since it last answered, so that its run
+  // list shows what became of its runs.
+  bool MayHaveLapsed(const RunnerLink& link, Instant now) const;
   Instant NextHold(const RunnerLink& link) const;
   RunnerCall MakeCall(CallKind kind, const std::string& runner,
                       RunnerLink& link, Instant now) const;
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -109,6 +109,9 @@
   Instant m_last_answer;
   // When the first call since the last answer failed; unset if none has.
   Instant m_silent_since;
+  // A call sent since the last answer has failed, or another incarnation has
+  // answered it.
+  bool m_has_ignored_call = false;
   // When its process was last known to run: its last run list, or the time at
   // which a hold that it kept open broke.
   Instant m_alive_until;
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -179,6 +179,12 @@
   return expiry;
 }
 
+bool Dispatcher::MayHaveLapsed(const RunnerLink& link, Instant now) const {
+  const Instant expiry = LeaseExpiry(link);
+  return !link.m_tracked_runs.empty() && link.m_last_answer < expiry &&
+         now >= expiry;
+}
+
 // A runner answers at once while it has ends that are not acknowledged. Until
 // those are recorded, holds only keep its lease.
 Instant Dispatcher::NextHold(const RunnerLink& link) const {
@@ -200,9 +206,11 @@
   call.m_sent = now;
   // The lease of an unresponsive, leaving or superseded runner is not extended:
   // its runs are lost, and their tasks assigned again, when the last lease it
-  // may have received expires.
+  // may have received expires. The same holds for one that is asked whether its
+  // lease has expired.
   if (link.m_consecutive_timeouts > 0 || link.m_is_leaving ||
-      link.m_is_superseded) {
+      link.m_is_superseded ||
+      (kind == CallKind::kHold && MayHaveLapsed(link, now))) {
     call.m_expires_ms = kind == CallKind::kStart ? link.m_expires_ms : 0;
   } else if (link.m_clock_ms != 0 &&
              (kind == CallKind::kHold || kind == CallKind::kStart)) {
@@ -255,7 +263,9 @@
   call.m_acknowledges = link.m_fenced && link.m_consecutive_timeouts == 0 &&
                         !link.m_is_superseded;
   const bool may_wait = link.m_fenced && link.m_consecutive_timeouts == 0 &&
-                        !link.m_leases_expired && !link.m_tracked_runs.empty();
+                        !link.m_leases_expired &&
+                        !link.m_tracked_runs.empty() &&
+                        !MayHaveLapsed(link, now);
   call.m_wait_ms =
       may_wait ? static_cast<std::uint32_t>(ToMillis(m_options.m_hold_wait))
                : 0;
@@ -499,8 +509,10 @@
   if (!link.m_hold_in_flight && now >= NextHold(link)) {
     SendHold(runner, link, now);
   }
-  const bool unresponsive = now - link.m_last_answer >
-                            m_options.m_hold_wait + m_options.m_retry_delay;
+  // An owner that was late itself may not have asked the runner.
+  const bool unresponsive = link.m_has_ignored_call &&
+                            now - link.m_last_answer >
+                                m_options.m_hold_wait + m_options.m_retry_delay;
   if (unresponsive && !link.m_leases_expired && now >= LeaseExpiry(link)) {
     link.m_leases_expired = true;
     std::vector<jobs::RunKey> runs;
@@ -565,6 +577,9 @@
     return;
   }
   RunnerLink& link = found->second;
+  // Unless the incarnation itself answers.
+  link.m_has_ignored_call =
+      link.m_has_ignored_call || call.m_sent >= link.m_last_answer;
   const bool is_at_earlier_address =
       answer.m_kind == AnswerKind::kOtherIncarnation &&
       call.m_address != link.m_address;
@@ -581,6 +596,7 @@
   } else {
     link.m_consecutive_timeouts = 0;
     link.m_silent_since = Instant();
+    link.m_has_ignored_call = false;
     link.m_last_answer = now;
     // Other answers do not name the incarnation.
     if (call.m_kind == CallKind::kHold) {
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(ListOfTheNextIncarnationFromBeforeTheStop);
   CPPUNIT_TEST(OtherMembersOfAGangWorkOn);
   CPPUNIT_TEST(LeaseIsRenewedWhileEndsAreCommitted);
+  CPPUNIT_TEST(RunnerThatWasNotAskedIsAskedFirst);
+  CPPUNIT_TEST(FailureOfAnEarlierCallIsNoProofOfSilence);
+  CPPUNIT_TEST(InheritedRunnerThatWasNotAskedIsAskedFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -536,7 +539,83 @@
     CPPUNIT_ASSERT(!IsAssigned(Run(1, 1)));
   }
 
+  // Guards against an owner that was late itself and takes the runs of a runner
+  // for lost whose list is about to show that they are done.
+  void RunnerThatWasNotAskedIsAskedFirst() {
+    for (const bool in_flight : {true, false}) {
+      setUp();
+      Assign(1, 2, Id(0));
+      Work(Millis(500));
+      std::vector<RunnerCall> calls;
+      if (in_flight) {
+        calls = Step();
+      }
+      Execute(Stop(Run(1, 1)));
+      SkipTo(m_now + Millis(7000));
+      for (const RunnerCall& call : Step()) {
+        CPPUNIT_ASSERT(call.m_runner != Id(0) || call.m_expires_ms == 0);
+        calls.push_back(call);
+      }
+      CPPUNIT_ASSERT(m_lost.empty());
+      for (const RunnerCall& call : calls) {
+        Return(call, Execute(call));
+      }
+      Work(Millis(500));
+      CPPUNIT_ASSERT(m_lost.empty());  // The list names both ends.
+      CPPUNIT_ASSERT(!IsAssigned(Run(1)) && !IsAssigned(Run(1, 1)));
+      Assign(2, 1, Id(0));  // The lease is renewed again.
+      Work(Millis(10'000));
+      CPPUNIT_ASSERT(IsRunning(Run(2)) && IsAssigned(Run(2)));
+    }
+  }
+
+  // Guards against a call from before the last response that fails after it.
+  void FailureOfAnEarlierCallIsNoProofOfSilence() {
+    Assign(1, 1, Id(0));
+    Work(Millis(500));
+    Assign(2, 1, Id(0));
+    const std::vector<RunnerCall> starts = m_dispatcher->TakeOutgoingCalls();
+    Work(Millis(200));
+    Return(starts[0], Failed(AnswerKind::kNoAnswer));
+    std::vector<RunnerCall> calls = Step();
+    SkipTo(m_now + Millis(7000));
+    for (const RunnerCall& call : Step()) {
+      calls.push_back(call);
+    }
+    CPPUNIT_ASSERT(m_lost.empty());
+    for (const RunnerCall& call : calls) {
+      if (call.m_kind == CallKind::kHold) {
+        Return(call, Failed(AnswerKind::kNoAnswer));
+      }
+    }
+    Work(kStep);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_lost.size());
+  }
+
+  // Guards against a new owner that has asked no runner yet when the leases of
+  // the former one expire.
+  void InheritedRunnerThatWasNotAskedIsAskedFirst() {
+    Assign(1, 1, Id(0));
+    Work(Millis(500));
+    m_dispatcher->BecomeLeader(TakeOwnership(), m_now);
+    SkipTo(m_now + Millis(8000));
+    const std::vector<RunnerCall> calls = Step();
+    CPPUNIT_ASSERT(m_lost.empty());
+    for (const RunnerCall& call : calls) {
+      Return(call, Execute(call));
+    }
+    CPPUNIT_ASSERT(m_lost.empty() && !IsAssigned(Run(1)));
+  }
+
  private:
+  // The owner's process does not run until then.
+  void SkipTo(Instant time) {
+    m_now = time;
+    for (const auto& [id, runner] : m_runners) {
+      runner->AdvanceTo(m_now);
+    }
+  }
+
   // @return a call that ends the run at its runner; the owner knows nothing
   RunnerCall Stop(const jobs::RunKey& run) const {
     RunnerCall call;
