--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -16,6 +16,8 @@
 // covers the delay of the clock reading.
 constexpr double kSlowestClockRate = 0.98;
 constexpr Duration kExpiryMargin = Millis(150);
+// Holds for each lease while reported ends are committed.
+constexpr int kRenewalsPerLease = 3;
 // Start calls sent for one run before it is stopped and its task is assigned
 // again.
 constexpr std::uint32_t kMaxStartAttempts = 2;
@@ -177,6 +179,22 @@
   return expiry;
 }
 
+bool Dispatcher::MayHaveLapsed(const RunnerLink& link, Instant now) const {
+  const Instant expiry = LeaseExpiry(link);
+  return !link.m_tracked_runs.empty() && link.m_last_answer < expiry &&
+         now >= expiry;
+}
+
+// A runner answers at once while it has ends that are not acknowledged. Until
+// those are recorded, holds only keep its lease.
+Instant Dispatcher::NextHold(const RunnerLink& link) const {
+  return link.m_ends_proposed && link.m_consecutive_timeouts == 0
+             ? std::max(
+                   link.m_next_hold,
+                   link.m_last_hold + m_options.m_lease / kRenewalsPerLease)
+             : link.m_next_hold;
+}
+
 RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string& runner,
                                 RunnerLink& link, Instant now) const {
   RunnerCall call;
@@ -188,9 +206,11 @@
   call.m_sent = now;
   // The lease of an unresponsive, leaving or superseded runner is not extended:
   // its runs are lost, and their tasks assigned again, when the last lease it
-  // may have received expires.
+  // may have received expires. The same holds for one that is asked whether its
+  // lease has expired.
   if (link.m_consecutive_timeouts > 0 || link.m_is_leaving ||
-      link.m_is_superseded) {
+      link.m_is_superseded ||
+      (kind == CallKind::kHold && MayHaveLapsed(link, now))) {
     call.m_expires_ms = kind == CallKind::kStart ? link.m_expires_ms : 0;
   } else if (link.m_clock_ms != 0 &&
              (kind == CallKind::kHold || kind == CallKind::kStart)) {
@@ -243,11 +263,14 @@
   call.m_acknowledges = link.m_fenced && link.m_consecutive_timeouts == 0 &&
                         !link.m_is_superseded;
   const bool may_wait = link.m_fenced && link.m_consecutive_timeouts == 0 &&
-                        !link.m_leases_expired && !link.m_tracked_runs.empty();
+                        !link.m_leases_expired &&
+                        !link.m_tracked_runs.empty() &&
+                        !MayHaveLapsed(link, now);
   call.m_wait_ms =
       may_wait ? static_cast<std::uint32_t>(ToMillis(m_options.m_hold_wait))
                : 0;
   link.m_hold_in_flight = true;
+  link.m_last_hold = now;
   m_calls.push_back(std::move(call));
 }
 
@@ -483,12 +506,13 @@
       return;
     }
   }
-  if (!link.m_hold_in_flight && !link.m_ends_proposed &&
-      now >= link.m_next_hold) {
+  if (!link.m_hold_in_flight && now >= NextHold(link)) {
     SendHold(runner, link, now);
   }
-  const bool unresponsive = now - link.m_last_answer >
-                            m_options.m_hold_wait + m_options.m_retry_delay;
+  // An owner that was late itself may not have asked the runner.
+  const bool unresponsive = link.m_has_ignored_call &&
+                            now - link.m_last_answer >
+                                m_options.m_hold_wait + m_options.m_retry_delay;
   if (unresponsive && !link.m_leases_expired && now >= LeaseExpiry(link)) {
     link.m_leases_expired = true;
     std::vector<jobs::RunKey> runs;
@@ -553,6 +577,13 @@
     return;
   }
   RunnerLink& link = found->second;
+  if (answer.m_kind == AnswerKind::kNotSent) {
+    OnNotSent(call, link, now);
+    return;
+  }
+  // Unless the incarnation itself answers.
+  link.m_has_ignored_call =
+      link.m_has_ignored_call || call.m_sent >= link.m_last_answer;
   const bool is_at_earlier_address =
       answer.m_kind == AnswerKind::kOtherIncarnation &&
       call.m_address != link.m_address;
@@ -569,6 +600,7 @@
   } else {
     link.m_consecutive_timeouts = 0;
     link.m_silent_since = Instant();
+    link.m_has_ignored_call = false;
     link.m_last_answer = now;
     // Other answers do not name the incarnation.
     if (call.m_kind == CallKind::kHold) {
@@ -582,6 +614,25 @@
   HandleByKind(call, answer, link, now);
 }
 
+void Dispatcher::OnNotSent(const RunnerCall& call, RunnerLink& link,
+                           Instant now) {
+  if (call.m_kind == CallKind::kHold) {
+    link.m_hold_in_flight = false;
+    link.m_next_hold = now;
+    link.m_last_hold = Instant();
+    return;
+  }
+  TrackedRun* const tracked = FindTracked(link, call.m_run);
+  if (tracked == nullptr || call.m_kind == CallKind::kThrottle) {
+    return;
+  }
+  tracked->m_call_in_flight = false;
+  tracked->m_next_attempt = now;
+  if (call.m_kind == CallKind::kStart) {
+    --tracked->m_attempts;
+  }
+}
+
 void Dispatcher::HandleByKind(const RunnerCall& call,
                               const RunnerAnswer& answer, RunnerLink& link,
                               Instant now) {
@@ -915,7 +966,9 @@
       ends.seen > acknowledgeable || acknowledgeable != kAllEnds;
   ends.seen =
       std::max(call.m_last_recorded_end, std::min(ends.seen, acknowledgeable));
-  if (ends.seen > call.m_last_recorded_end || !ends.ends.empty()) {
+  const bool acknowledges_more =
+      ends.seen > call.m_last_recorded_end && !link.m_ends_proposed;
+  if (acknowledges_more || !ends.ends.empty()) {
     link.m_ends_proposed = true;
     link.m_next_hold = now + m_options.m_end_batch_delay;
     m_commands.emplace_back().Set(std::move(ends));
--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -28,6 +28,11 @@
   CPPUNIT_TEST(StopAnsweredByTheEarlierIncarnation);
   CPPUNIT_TEST(ListOfTheNextIncarnationFromBeforeTheStop);
   CPPUNIT_TEST(OtherMembersOfAGangWorkOn);
+  CPPUNIT_TEST(LeaseIsRenewedWhileEndsAreCommitted);
+  CPPUNIT_TEST(RunnerThatWasNotAskedIsAskedFirst);
+  CPPUNIT_TEST(FailureOfAnEarlierCallIsNoProofOfSilence);
+  CPPUNIT_TEST(InheritedRunnerThatWasNotAskedIsAskedFirst);
+  CPPUNIT_TEST(CallsThatWereNotSentShowNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -503,7 +508,158 @@
     CPPUNIT_ASSERT(IsAssigned(Run(1, 1)) && IsAssigned(Run(1, 2)));
   }
 
+  // Guards against leases that expire because ends take long to commit, and
+  // against a busy loop: a runner with ends that are not recorded answers holds
+  // at once.
+  void LeaseIsRenewedWhileEndsAreCommitted() {
+    Assign(1, 2, Id(0));
+    Work(Millis(500));
+    Execute(Stop(Run(1, 1)));
+    std::vector<wire::WorkBodyUnion> uncommitted;
+    std::size_t holds = 0;
+    for (const Instant end = m_now + Millis(12'000); m_now < end;) {
+      m_now += kStep;
+      m_runners.at(Id(0))->AdvanceTo(m_now);
+      m_dispatcher->Tick(m_now);
+      for (const RunnerCall& call : m_dispatcher->TakeOutgoingCalls()) {
+        holds += call.m_runner == Id(0) ? 1 : 0;
+        CPPUNIT_ASSERT(call.AcknowledgedEnd() == 0);
+        m_dispatcher->OnAnswer(call, Execute(call), m_now);
+      }
+      for (wire::WorkBodyUnion& body : CheckCommands()) {
+        uncommitted.push_back(std::move(body));
+      }
+    }
+    CPPUNIT_ASSERT(IsRunning(Run(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, uncommitted.size());
+    CPPUNIT_ASSERT(holds <= 9);  // One each third of a lease.
+    ApplyBody(std::move(uncommitted[0]));
+    Work(Millis(500));
+    CPPUNIT_ASSERT(m_lost.empty());
+    CPPUNIT_ASSERT(IsRunning(Run(1)) && IsAssigned(Run(1)));
+    CPPUNIT_ASSERT(!IsAssigned(Run(1, 1)));
+  }
+
+  // Guards against an owner that was late itself and takes the runs of a runner
+  // for lost whose list is about to show that they are done.
+  void RunnerThatWasNotAskedIsAskedFirst() {
+    for (const bool in_flight : {true, false}) {
+      setUp();
+      Assign(1, 2, Id(0));
+      Work(Millis(500));
+      std::vector<RunnerCall> calls;
+      if (in_flight) {
+        calls = Step();
+      }
+      Execute(Stop(Run(1, 1)));
+      SkipTo(m_now + Millis(7000));
+      for (const RunnerCall& call : Step()) {
+        CPPUNIT_ASSERT(call.m_runner != Id(0) || call.m_expires_ms == 0);
+        calls.push_back(call);
+      }
+      CPPUNIT_ASSERT(m_lost.empty());
+      for (const RunnerCall& call : calls) {
+        Return(call, Execute(call));
+      }
+      Work(Millis(500));
+      CPPUNIT_ASSERT(m_lost.empty());  // The list names both ends.
+      CPPUNIT_ASSERT(!IsAssigned(Run(1)) && !IsAssigned(Run(1, 1)));
+      Assign(2, 1, Id(0));  // The lease is renewed again.
+      Work(Millis(10'000));
+      CPPUNIT_ASSERT(IsRunning(Run(2)) && IsAssigned(Run(2)));
+    }
+  }
+
+  // Guards against a call from before the last response that fails after it.
+  void FailureOfAnEarlierCallIsNoProofOfSilence() {
+    Assign(1, 1, Id(0));
+    Work(Millis(500));
+    Assign(2, 1, Id(0));
+    const std::vector<RunnerCall> starts = m_dispatcher->TakeOutgoingCalls();
+    Work(Millis(200));
+    Return(starts[0], Failed(AnswerKind::kNoAnswer));
+    std::vector<RunnerCall> calls = Step();
+    SkipTo(m_now + Millis(7000));
+    for (const RunnerCall& call : Step()) {
+      calls.push_back(call);
+    }
+    CPPUNIT_ASSERT(m_lost.empty());
+    for (const RunnerCall& call : calls) {
+      if (call.m_kind == CallKind::kHold) {
+        Return(call, Failed(AnswerKind::kNoAnswer));
+      }
+    }
+    Work(kStep);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_lost.size());
+  }
+
+  // Guards against a new owner that has asked no runner yet when the leases of
+  // the former one expire.
+  void InheritedRunnerThatWasNotAskedIsAskedFirst() {
+    Assign(1, 1, Id(0));
+    Work(Millis(500));
+    m_dispatcher->BecomeLeader(TakeOwnership(), m_now);
+    SkipTo(m_now + Millis(8000));
+    const std::vector<RunnerCall> calls = Step();
+    CPPUNIT_ASSERT(m_lost.empty());
+    for (const RunnerCall& call : calls) {
+      Return(call, Execute(call));
+    }
+    CPPUNIT_ASSERT(m_lost.empty() && !IsAssigned(Run(1)));
+  }
+
+  // Guards against a lapsed permission to send that counts as the silence of
+  // the runner, and against a start attempt that it costs.
+  void CallsThatWereNotSentShowNothing() {
+    Assign(1, 2, Id(0));
+    Work(Millis(500));
+    Assign(2, 1, Id(0));
+    std::vector<RunnerCall> calls = m_dispatcher->TakeOutgoingCalls();
+    m_dispatcher->StopRun(Id(0), Run(1, 1).m_task, m_now);
+    for (int step = 0; step < 400; ++step) {
+      std::size_t holds = 0;
+      for (const RunnerCall& call : calls) {
+        holds += call.m_kind == CallKind::kHold && call.m_runner == Id(0);
+        Return(call, Failed(AnswerKind::kNotSent));
+        CPPUNIT_ASSERT(m_dispatcher->IsUsable(call.m_runner, m_now));
+      }
+      CPPUNIT_ASSERT(step == 0 || holds == 1);
+      calls = Step();
+    }
+    CPPUNIT_ASSERT(m_lost.empty() && m_removed.empty());
+    const RunnerLink& link = *m_dispatcher->FindLink(Id(0));
+    CPPUNIT_ASSERT(link.m_silent_since == Instant());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1},
+                         link.m_tracked_runs.at(Run(2).m_task).m_attempts);
+    for (const RunnerCall& call : calls) {
+      Return(call, Execute(call));
+    }
+    Work(Millis(500));
+    CPPUNIT_ASSERT(m_lost.empty());
+    CPPUNIT_ASSERT(IsRunning(Run(2)) && IsAssigned(Run(2)));
+    CPPUNIT_ASSERT(!IsRunning(Run(1, 1)) && !IsAssigned(Run(1, 1)));
+  }
+
  private:
+  // The owner's process does not run until then.
+  void SkipTo(Instant time) {
+    m_now = time;
+    for (const auto& [id, runner] : m_runners) {
+      runner->AdvanceTo(m_now);
+    }
+  }
+
+  // @return a call that ends the run at its runner; the owner knows nothing
+  RunnerCall Stop(const jobs::RunKey& run) const {
+    RunnerCall call;
+    call.m_kind = CallKind::kStop;
+    call.m_runner = Id(0);
+    call.m_born_ms = kBornMs;
+    call.m_epoch = m_state->epoch();
+    call.m_run = run;
+    return call;
+  }
+
   // @return a start of Run(1) that has not arrived; the owner waits no longer
   RunnerCall StartThatTimesOut() {
     Assign(1, 1, Id(0));
