--- a/include/bronzebarrow/node.h
+++ b/include/bronzebarrow/node.h
@@ -11,5 +11,6 @@
 #include "bronzebarrow/node/protocol_codec.h"
 #include "bronzebarrow/node/relay_table.h"
 #include "bronzebarrow/node/work_core.h"
+#include "bronzebarrow/node/work_inbox.h"
 
 #endif  // BRONZEBARROW_NODE_H_
