Send a call once on a live connection

LeaderLink::Call sent the same frame again each 700 ms on the same connection, and MemberNode::Call began a new call with another id each 500 ms; the leader served every copy, also those whose callers had left.

A connection that lives loses no frame, so a copy on it only adds load. A call is now sent again when its connection was replaced or another leader is known. A connection without a frame for kReceiveTimeout is still reset by the probe, and its calls move with the new connection. A member that becomes the leader ends its remote calls at the next tick; Stop ends them at once. The outcome of an attempt without a reply stays Unknown.

Call carries wait_ms, how long its caller still waits, so that a leader can drop work that nobody waits for. It is relative: no clocks are compared.

The fake member of leader_link_test lost replies on a live connection, which TCP does not; it closes the connection instead, and the test of refusals now also counts the attempts. The test of Stop bounds the time to the end of the call.

--- a/include/bronzebarrow/node/leader_link.h
+++ b/include/bronzebarrow/node/leader_link.h
@@ -22,8 +22,10 @@
 
 /**
  * Calls are idempotent at the leader, so one without a response is sent again
- * until its deadline. A refusal is returned only when no attempt can have been
- * executed; otherwise the outcome is Unknown.
+ * until its deadline: on a new connection, or to a new leader. It is not sent
+ * twice on one connection, which loses no frame while it lives. A refusal is
+ * returned only when no attempt can have been executed; otherwise the outcome
+ * is Unknown.
  * Runs on one executor that handles one event at a time.
  */
 class LeaderLink {
@@ -47,6 +49,8 @@
 
   boost::asio::awaitable<wire::CallReplyT> Call(wire::CallBodyUnion body,
                                                 Instant deadline);
+  /** Ends the calls in progress, e.g. because this member leads now. */
+  void EndCalls();
   /** Later calls end at `deadline` at the latest, e.g. before a shutdown. */
   void LimitCalls(Instant deadline) { m_latest_deadline = deadline; }
 
@@ -72,12 +76,15 @@
   struct PendingCall {
     explicit PendingCall(const boost::asio::any_io_executor& executor)
         : m_timer(executor) {}
-    // Ends a wait: expires, or is cancelled by a reply or a new leader.
+    // Ends a wait: expires, or is cancelled by a reply, a new leader, or a new
+    // connection to the receiver.
     boost::asio::steady_timer m_timer;
     std::string m_peer;  // Receiver of the current attempt.
     std::optional<wire::CallReplyT> m_reply;
+    bool m_ended = false;  // By EndCalls.
   };
 
+  void OnConnect(const std::string& peer);
   void OnFrame(const std::string& peer, std::unique_ptr<wire::FrameT> frame);
   void OnView(const std::string& peer, const wire::GroupViewT& view);
   void ScheduleProbe();
--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <limits>
 #include <utility>
 
 #include "bronzebarrow/base/event_log.h"
@@ -20,9 +21,6 @@
 // A connection that received nothing for this long, so that three views are
 // missing, is reset and dialled again.
 constexpr Duration kReceiveTimeout = Millis(1300);
-// Timeout of one attempt of a call. A commit takes two disk syncs of 9 ms and
-// two network trips.
-constexpr Duration kAttemptTimeout = Millis(700);
 constexpr Duration kNoLeaderRetryInterval = Millis(40);
 
 // Whether the leader's state decided against the call. An earlier attempt may
@@ -33,6 +31,13 @@
          outcome == wire::CallOutcome::NoQueue;
 }
 
+// Zero means that the wait is not known.
+std::uint32_t WaitMillis(Duration wait) {
+  const auto millis = std::chrono::ceil<Millis>(wait).count();
+  return static_cast<std::uint32_t>(std::clamp<Millis::rep>(
+      millis, 1, std::numeric_limits<std::uint32_t>::max()));
+}
+
 }  // namespace
 
 LeaderLink::LeaderLink(asio::any_io_executor executor, std::string own_name,
@@ -45,16 +50,7 @@
           [this](const std::string& peer, std::unique_ptr<wire::FrameT> frame) {
             OnFrame(peer, std::move(frame));
           },
-          [this](const std::string& peer) {
-            m_last_received[peer] = Now();
-            if (m_on_member_connect) {
-              m_on_member_connect(peer);
-            }
-            wire::FrameT frame;
-            frame.sender = m_own_name;
-            frame.body.Set(wire::ViewRequestT());
-            m_peers.Send(peer, frame);
-          }),
+          [this](const std::string& peer) { OnConnect(peer); }),
       m_probe_timer(executor) {}
 
 void LeaderLink::Start() {
@@ -65,6 +61,7 @@
 void LeaderLink::Stop() {
   m_stopped = true;
   m_probe_timer.cancel();
+  EndCalls();
   m_peers.Stop();
 }
 
@@ -110,6 +107,31 @@
   }
 }
 
+// Calls whose attempt went over the last connection are sent again: a reply
+// only returns over the connection of its call.
+void LeaderLink::OnConnect(const std::string& peer) {
+  m_last_received[peer] = Now();
+  if (m_on_member_connect) {
+    m_on_member_connect(peer);
+  }
+  wire::FrameT frame;
+  frame.sender = m_own_name;
+  frame.body.Set(wire::ViewRequestT());
+  m_peers.Send(peer, frame);
+  for (auto& [id, pending] : m_pending) {
+    if (pending->m_peer == peer) {
+      pending->m_timer.cancel();
+    }
+  }
+}
+
+void LeaderLink::EndCalls() {
+  for (auto& [id, pending] : m_pending) {
+    pending->m_ended = true;
+    pending->m_timer.cancel();
+  }
+}
+
 void LeaderLink::OnFrame(const std::string& peer,
                          std::unique_ptr<wire::FrameT> frame) {
   m_last_received[peer] = Now();
@@ -200,23 +222,26 @@
   call.id = id;
   call.body = std::move(body);
   frame.body.Set(std::move(call));
+  std::uint32_t& wait_ms = frame.body.AsCall()->wait_ms;
   bool maybe_executed = false;
   m_pending[id] = pending;
   wire::CallReplyT result;
   result.outcome = wire::CallOutcome::NotRun;
-  while (Now() < deadline && !m_stopped) {
+  while (Now() < deadline && !m_stopped && !pending->m_ended) {
     const std::string leader = m_leader;
     pending->m_reply.reset();
     pending->m_peer = leader;
+    wait_ms = WaitMillis(deadline - Now());
     const bool sent = !leader.empty() && m_peers.Send(leader, frame);
     if (!sent) {
       co_await Wait(*pending,
                     std::min(deadline - Now(), kNoLeaderRetryInterval));
       continue;
     }
-    // A change of the leader cancels the timer and ends the attempt early. The
-    // old leader may still have executed the call; its reply is not awaited.
-    co_await Wait(*pending, std::min(deadline - Now(), kAttemptTimeout));
+    // A new leader, or a new connection to this one, cancels the timer and ends
+    // the attempt. The call may still have been executed; the reply to the
+    // attempt is not awaited.
+    co_await Wait(*pending, deadline - Now());
     if (!pending->m_reply) {
       maybe_executed = true;
       continue;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -30,7 +30,6 @@
 constexpr int kMaxInventoryPages = 64;
 constexpr Duration kRetirePollInterval = Millis(50);
 constexpr int kMaxRetirePolls = 30;
-constexpr Duration kRemoteAttemptTimeout = Millis(500);
 // Members send their view every 400 ms; two may be missing.
 constexpr Duration kRecentLeaderContact = Millis(1000);
 
@@ -190,6 +189,9 @@
     self->HandleOverdueCalls();
     self->m_core->Tick(CurrentMoment());
     self->PerformActions();
+    if (self->m_core->CanServe(Now())) {
+      self->m_leader_link.EndCalls();
+    }
     FlushLog();
     self->ScheduleTick();
   });
@@ -384,15 +386,12 @@
   reply.outcome = wire::CallOutcome::NotRun;
   bool uncertain = false;
   while (Now() < deadline && !m_stopping) {
-    // Each remote attempt is limited, because this member may become the
-    // leader while it waits for another one.
-    const Instant attempt_deadline =
-        std::min(deadline, Now() + kRemoteAttemptTimeout);
+    // The tick ends remote calls when this member has become the leader.
     if (m_core->CanServe(Now())) {
       reply = co_await CallLocally(body, deadline);
     } else {
       wire::CallBodyUnion copy = body;
-      reply = co_await m_leader_link.Call(std::move(copy), attempt_deadline);
+      reply = co_await m_leader_link.Call(std::move(copy), deadline);
     }
     uncertain = uncertain || reply.outcome == wire::CallOutcome::Unknown;
     if (reply.outcome != wire::CallOutcome::NotRun &&
--- a/tests/leader_link_test.cc
+++ b/tests/leader_link_test.cc
@@ -68,9 +68,14 @@
     m_connection->Send(frame);
   }
 
-  // By attempt; nothing: no reply. Attempts beyond the last get no reply.
+  void CloseConnection() { m_connection->Close(); }
+
+  // By attempt; nothing: the connection ends without a reply. Attempts beyond
+  // the last get no reply.
   std::deque<std::optional<wire::CallOutcome>> m_script;
   int m_calls = 0;
+  std::vector<std::uint32_t> m_wait_ms;  // Of each attempt.
+  bool m_is_silent = false;              // Receives, but sends no views.
 
  private:
   void SendView() {
@@ -83,15 +88,20 @@
   void OnFrame(const net::FrameConnectionPtr& from, const wire::FrameT& frame) {
     m_connection = from;
     if (frame.body.type == wire::Body::ViewRequest) {
-      SendView();
+      if (!m_is_silent) {
+        SendView();
+      }
     } else if (const auto* const call = frame.body.AsCall()) {
       ++m_calls;
       m_last_call = call->id;
+      m_wait_ms.push_back(call->wait_ms);
       if (!m_script.empty()) {
         const std::optional<wire::CallOutcome> outcome = m_script.front();
         m_script.pop_front();
         if (outcome) {
           ReplyToLastCall(*outcome);
+        } else {
+          CloseConnection();
         }
       }
     }
@@ -112,6 +122,10 @@
   CPPUNIT_TEST(StopEndsCallsTruthfully);
   CPPUNIT_TEST(ReloadKeepsCallsInProgress);
   CPPUNIT_TEST(LeaderThatLeavesTheGroupLosesNoCall);
+  CPPUNIT_TEST(SlowLeaderGetsOneCopy);
+  CPPUNIT_TEST(SilentConnectionIsReplaced);
+  CPPUNIT_TEST(CallSaysHowLongItsCallerWaits);
+  CPPUNIT_TEST(EndedCallsAreTruthful);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -142,7 +156,9 @@
          {wire::CallOutcome::NotRun, wire::CallOutcome::Refused,
           wire::CallOutcome::NoQueue}) {
       m_member->m_script = {std::nullopt, refusal};
+      m_member->m_calls = 0;
       CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), Outcome(Millis(2000)));
+      CPPUNIT_ASSERT_EQUAL(2, m_member->m_calls);
     }
   }
 
@@ -182,8 +198,10 @@
   void StopEndsCallsTruthfully() {
     const auto outcome = StartCall(Millis(5000));
     RunUntil([&] { return m_member->m_calls == 1; });
+    const Instant stopped_at = Now();
     m_link->Stop();
     RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT(Now() < stopped_at + Millis(1000));
     CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), outcome->value());
   }
 
@@ -219,6 +237,64 @@
     CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
   }
 
+  // Guards against a leader that is short of processor time and gets each call
+  // several times.
+  void SlowLeaderGetsOneCopy() {
+    const auto outcome = StartCall(Millis(4000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    m_io->run_for(Millis(2000));
+    CPPUNIT_ASSERT_EQUAL(1, m_member->m_calls);
+    m_member->ReplyToLastCall(wire::CallOutcome::Accepted);
+    RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
+    CPPUNIT_ASSERT_EQUAL(1, m_member->m_calls);
+  }
+
+  // Guards against a call that waits for its deadline on a connection that
+  // passes nothing on.
+  void SilentConnectionIsReplaced() {
+    const auto outcome = StartCall(Millis(5000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    m_member->m_is_silent = true;
+    RunUntil([&] { return m_member->m_calls == 2; });
+    m_member->ReplyToLastCall(wire::CallOutcome::Accepted);
+    RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
+  }
+
+  // The leader compares no clocks: each attempt carries what is left.
+  void CallSaysHowLongItsCallerWaits() {
+    const auto outcome = StartCall(Millis(2000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    m_io->run_for(Millis(300));
+    m_member->CloseConnection();
+    RunUntil([&] { return m_member->m_calls == 2; });
+    CPPUNIT_ASSERT(m_member->m_wait_ms[0] > 1500);
+    CPPUNIT_ASSERT(m_member->m_wait_ms[0] <= 2000);
+    CPPUNIT_ASSERT(m_member->m_wait_ms[1] > 0);
+    CPPUNIT_ASSERT(m_member->m_wait_ms[1] <= m_member->m_wait_ms[0] - 290);
+    m_member->ReplyToLastCall(wire::CallOutcome::Accepted);
+    RunUntil([&] { return outcome->has_value(); });
+  }
+
+  // Guards against a call that was sent to another member and is taken for one
+  // that was not when this member becomes the leader.
+  void EndedCallsAreTruthful() {
+    const auto sent = StartCall(Millis(5000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    m_link->EndCalls();
+    RunUntil([&] { return sent->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Unknown"), sent->value());
+    m_member->SetView(2, false, {m_member->name()});
+    RunUntil([&] { return m_link->leader().empty(); });
+    const auto unsent = StartCall(Millis(5000));
+    m_io->run_for(Millis(100));
+    m_link->EndCalls();
+    RunUntil([&] { return unsent->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("NotRun"), unsent->value());
+    CPPUNIT_ASSERT_EQUAL(1, m_member->m_calls);
+  }
+
  private:
   using OutcomeName = std::shared_ptr<std::optional<std::string>>;
 
