--- a/include/bronzebarrow/base/metrics.h
+++ b/include/bronzebarrow/base/metrics.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace bronzebarrow {
 
@@ -24,13 +25,11 @@
    * Increments a counter.
    * @param labels e.g. `plan="a",class="urgent"`; may be empty.
    */
-  void Count(const std::string& name, const std::string& labels,
+  void Count(std::string_view name, std::string_view labels,
              std::uint64_t increment = 1);
-  void SetGauge(const std::string& name, const std::string& labels,
-                double value);
+  void SetGauge(std::string_view name, std::string_view labels, double value);
   /** Adds a duration to the latency histogram `name`. */
-  void Observe(const std::string& name, const std::string& labels,
-               double seconds);
+  void Observe(std::string_view name, std::string_view labels, double seconds);
 
   /** @return all metrics in the text exposition format. */
   std::string Expose() const;
--- a/include/bronzebarrow/wire/codec.h
+++ b/include/bronzebarrow/wire/codec.h
@@ -2,6 +2,7 @@
 #ifndef BRONZEBARROW_WIRE_CODEC_H_
 #define BRONZEBARROW_WIRE_CODEC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -18,13 +19,22 @@
 /** Alignment in bytes that the scalars of a table require. */
 constexpr std::uintptr_t kTableAlignment = 8;
 
-/** @return the serialised `Table` of its object form `value`. */
+/**
+ * @param header_bytes number of zero bytes to put in front, for a header that
+ * the caller fills in
+ * @return the serialised `Table` of its object form `value`
+ */
 template <typename Table>
-std::vector<std::uint8_t> Encode(const typename Table::NativeTableType& value) {
+std::vector<std::uint8_t> Encode(const typename Table::NativeTableType& value,
+                                 std::size_t header_bytes = 0) {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(Table::Pack(builder, &value));
   const auto* const data = builder.GetBufferPointer();
-  return {data, data + builder.GetSize()};
+  std::vector<std::uint8_t> bytes;
+  bytes.reserve(header_bytes + builder.GetSize());
+  bytes.resize(header_bytes);
+  bytes.insert(bytes.end(), data, data + builder.GetSize());
+  return bytes;
 }
 
 /** @return the object form of the table, or null if verification fails. */
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -2,9 +2,13 @@
 #include "bronzebarrow/base/metrics.h"
 
 #include <boost/histogram.hpp>
+#include <functional>
 #include <iomanip>
 #include <limits>
+#include <map>
 #include <sstream>
+#include <string>
+#include <string_view>
 
 namespace bronzebarrow {
 namespace {
@@ -50,33 +54,49 @@
       << "\n";
 }
 
+// Series by name, then by labels. Looked up by views, without a copy of the
+// key.
+template <typename Series>
+using MetricMap =
+    std::map<std::string, std::map<std::string, Series, std::less<>>,
+             std::less<>>;
+
+// The entry of the key; added if it is missing.
+template <typename Value>
+Value& FindOrAdd(std::map<std::string, Value, std::less<>>& map,
+                 std::string_view key) {
+  const auto found = map.find(key);
+  return found != map.end() ? found->second : map[std::string(key)];
+}
+
 }  // namespace
 
 struct Metrics::Tables {
-  std::map<std::string, std::map<std::string, std::uint64_t>> m_counters;
-  std::map<std::string, std::map<std::string, double>> m_gauges;
-  std::map<std::string, std::map<std::string, LatencySeries>> m_latencies;
+  MetricMap<std::uint64_t> m_counters;
+  MetricMap<double> m_gauges;
+  MetricMap<LatencySeries> m_latencies;
 };
 
 Metrics::Metrics() : m_tables(std::make_unique<Tables>()) {}
 Metrics::~Metrics() = default;
 
-void Metrics::Count(const std::string& name, const std::string& labels,
+void Metrics::Count(std::string_view name, std::string_view labels,
                     std::uint64_t increment) {
   const std::lock_guard lock(m_mutex);
-  m_tables->m_counters[name][labels] += increment;
+  FindOrAdd(FindOrAdd(m_tables->m_counters, name), labels) += increment;
 }
 
-void Metrics::SetGauge(const std::string& name, const std::string& labels,
+void Metrics::SetGauge(std::string_view name, std::string_view labels,
                        double value) {
   const std::lock_guard lock(m_mutex);
-  m_tables->m_gauges[name][labels] = value;
+  FindOrAdd(FindOrAdd(m_tables->m_gauges, name), labels) = value;
 }
 
-void Metrics::Observe(const std::string& name, const std::string& labels,
+void Metrics::Observe(std::string_view name, std::string_view labels,
                       double seconds) {
   const std::lock_guard lock(m_mutex);
-  LatencySeries& latency = m_tables->m_latencies[name][labels];
+  LatencySeries& latency =
+      FindOrAdd(FindOrAdd(m_tables->m_latencies, name), labels);
   latency.m_buckets(seconds);
   latency.m_sum += seconds;
   ++latency.m_count;
--- a/src/net/frame_connection.cc
+++ b/src/net/frame_connection.cc
@@ -3,7 +3,6 @@
 
 #include <netinet/tcp.h>
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -27,13 +26,11 @@
 
 std::shared_ptr<const std::vector<std::uint8_t>> EncodeFrame(
     const wire::FrameT& frame) {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(wire::Frame::Pack(builder, &frame));
-  const auto* const data = builder.GetBufferPointer();
-  auto bytes = std::make_shared<std::vector<std::uint8_t>>(kLengthPrefixBytes +
-                                                           builder.GetSize());
-  boost::endian::store_little_u32(bytes->data(), builder.GetSize());
-  std::copy_n(data, builder.GetSize(), bytes->data() + kLengthPrefixBytes);
+  auto bytes = std::make_shared<std::vector<std::uint8_t>>(
+      wire::Encode<wire::Frame>(frame, kLengthPrefixBytes));
+  boost::endian::store_little_u32(
+      bytes->data(),
+      static_cast<std::uint32_t>(bytes->size() - kLengthPrefixBytes));
   return bytes;
 }
 
