Serve frames by class in slices instead of as the sockets deliver them

Consensus messages and answers of runners waited behind submits whose callers had left.

Frames are verified and classified when they arrive, and unpacked when they are served. WorkInbox gives them out by class in slices of 4 ms; sockets and timers have their turn between slices. One read takes all frames that are there, so that a busy connection does not get one frame a slice, and frames sent in one event leave in one write. What follows from events (applying, planning, proposals, messages) runs once a slice: WorkCore::DeferUpdates. A change of the role or term is still handled with its event. A tick first serves waiting consensus messages and answers, so that the member does not take another one for silent whose answer it has.

Calls whose wait_ms has passed are dropped without a reply. Refused callers are told to return one after the other. A stop waits until the inbox is empty. Metrics: bronzebarrow_inbox_seconds, bronzebarrow_calls_dropped_total and bronzebarrow_calls_refused_total, by class.

Not queued: a member's calls to its own core and the answers of runners that it calls itself.

No figure of load was taken.

--- a/include/bronzebarrow/net.h
+++ b/include/bronzebarrow/net.h
@@ -7,6 +7,7 @@
 #include "bronzebarrow/net/frame_connection.h"
 #include "bronzebarrow/net/frame_dialer.h"
 #include "bronzebarrow/net/http_server.h"
+#include "bronzebarrow/net/received_frame.h"
 #include "bronzebarrow/net/target_pool.h"
 #include "bronzebarrow/net/traffic.h"
 
--- a/include/bronzebarrow/net/frame_connection.h
+++ b/include/bronzebarrow/net/frame_connection.h
@@ -14,10 +14,13 @@
 #include <vector>
 
 #include "bronzebarrow/base/time.h"
+#include "bronzebarrow/net/received_frame.h"
 #include "wire_generated.h"
 
 namespace bronzebarrow::net {
 
+class FrameBuffer;
+
 /** The largest frame accepted or sent, in bytes. */
 constexpr std::uint32_t kMaxFrameBytes = 64U << 20;
 /** A connection with more unsent bytes than this is closed as stuck. */
@@ -37,24 +40,33 @@
   using Socket = boost::asio::ip::tcp::socket;
   using OnFrame = std::function<void(const std::shared_ptr<FrameConnection>&,
                                      std::unique_ptr<wire::FrameT>)>;
+  using OnReceived = std::function<void(const std::shared_ptr<FrameConnection>&,
+                                        ReceivedFrame)>;
   using OnClose = std::function<void(const std::shared_ptr<FrameConnection>&)>;
 
   explicit FrameConnection(Socket socket);
 
   /** Starts reading. `on_close` is called once, when the connection closes. */
   void Start(OnFrame on_frame, OnClose on_close);
+  /** Like Start, and leaves it to the receiver to unpack frames. */
+  void StartReceiving(OnReceived on_received, OnClose on_close);
+  /** Frames that are sent while others are being written leave together. */
   void Send(const wire::FrameT& frame);
   void Close();
 
  private:
   boost::asio::awaitable<void> ReadLoop();
   boost::asio::awaitable<void> WriteLoop();
-  boost::asio::awaitable<std::unique_ptr<wire::FrameT>> ReadFrame();
+  /**
+   * Hands over the complete frames of the buffer.
+   * @return false after an invalid frame
+   */
+  bool HandOver(FrameBuffer& buffer);
   void CloseOnStrand();
 
   Socket m_socket;
   boost::asio::strand<boost::asio::any_io_executor> m_strand;
-  OnFrame m_on_frame;
+  OnReceived m_on_received;
   OnClose m_on_close;
   std::deque<std::shared_ptr<const std::vector<std::uint8_t>>> m_send_queue;
   std::size_t m_unsent_bytes = 0;  // Sum of the sizes in m_send_queue.
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -3,6 +3,7 @@
 #ifndef BRONZEBARROW_NODE_MEMBER_NODE_H_
 #define BRONZEBARROW_NODE_MEMBER_NODE_H_
 
+#include <array>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +22,7 @@
 #include "bronzebarrow/node/protocol_codec.h"
 #include "bronzebarrow/node/relay_table.h"
 #include "bronzebarrow/node/work_core.h"
+#include "bronzebarrow/node/work_inbox.h"
 
 namespace bronzebarrow::node {
 
@@ -43,6 +45,7 @@
   Duration m_heartbeat = Millis(100);
   MachineOptions m_machines;
   RelayOptions m_relays;
+  WorkInboxOptions m_inbox;
   // Connections to runners, the platform and the adviser.
   net::TargetPoolOptions m_connection_options;
 };
@@ -93,6 +96,19 @@
     std::optional<wire::CallReplyT> m_reply;
   };
 
+  /** Work that other members or entries sent; queued until it is served. */
+  struct Incoming {
+    net::FrameConnectionPtr m_connection;  // Null for answers.
+    // Null for answers. Shared by the calls of one frame.
+    std::shared_ptr<const net::ReceivedFrame> m_frame;
+    std::uint32_t m_index = 0;  // Of the relayed call in the frame.
+    // Answers of a member that relays calls.
+    std::string m_member;
+    std::unique_ptr<wire::RelayedAnswersT> m_answers;
+  };
+  using Inbox = WorkInbox<Incoming>;
+  using Server = void (MemberNode::*)(Inbox::Popped&);
+
   /** What the member did since it last logged its load. */
   struct Load {
     Duration m_max_lateness = Duration::zero();  // Of its ticks.
@@ -111,7 +127,24 @@
   // Records how late the tick is, and logs the load once a second.
   void RecordTick();
   void OnFrame(const net::FrameConnectionPtr& connection,
-               std::unique_ptr<wire::FrameT> frame);
+               net::ReceivedFrame received);
+  void Push(WorkClass work_class, Incoming incoming,
+            Duration patience = Inbox::kUnlimited);
+  // Serves the inbox for a few milliseconds, and then lets the sockets and
+  // timers have their turn.
+  void ServeSlice();
+  // Serves what the decisions of a tick depend on.
+  void ServeBeforeTick();
+  void Serve(Inbox::Popped& popped);
+  // One for each class of work.
+  static const std::array<Server, kWorkClasses>& Servers();
+  void ServeMemberFrame(Inbox::Popped& popped);
+  void ServeAnswers(Inbox::Popped& popped);
+  void ServeRelayedCall(Inbox::Popped& popped);
+  void ServeCall(Inbox::Popped& popped);
+  // Whether the job may be accepted already, by an earlier submit.
+  bool MayBeKnown(const wire::SubmitCall* submit) const;
+  void RefuseSubmit(const Inbox::Popped& popped, const wire::Call& call);
   void PerformActions();
   void StartBatchWrite();
   void SendReply(OutgoingReply& reply);
@@ -154,6 +187,9 @@
   RelayTable m_relays;
   // Answers to relayed calls that are sent at the end of the current events.
   std::map<net::FrameConnectionPtr, wire::RelayedAnswersT> m_relayed_answers;
+  Inbox m_inbox;
+  bool m_slice_scheduled = false;  // Set while the inbox is not empty.
+  Instant m_next_return;  // When the last caller that was refused may return.
   net::TargetPool m_connection_pool;
   Metrics m_metrics;
   boost::asio::steady_timer m_tick_timer;
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -82,6 +83,13 @@
                 const std::map<std::string, std::string>* tickets,
                 std::uint32_t valid_ms, Moment moment);
   void SetPeers(std::vector<std::string> peers);
+  /**
+   * Puts off what follows from events (applying entries, plans, proposals and
+   * messages) until ProcessDeferredUpdates, which must be called before the
+   * actions are taken. A change of the role is handled at once.
+   */
+  void DeferUpdates() { m_defers_updates = true; }
+  void ProcessDeferredUpdates(Moment moment);
   /** Asks another voter to take over the leadership before a planned stop. */
   void TransferLeadership(Moment moment);
 
@@ -110,6 +118,11 @@
    * that is in contact with the leader can acknowledge it itself
    */
   bool IsRepeatedReport(const wire::ReportRunnerCallT& report) const;
+  /**
+   * @return false only if this member holds no job of this id and has not
+   * proposed one
+   */
+  bool MayHaveJob(std::string_view id) const;
   /** @return until when CanServe holds without a further confirmation. */
   Instant ServesUntil() const;
   /** @return the term, the leader and the members as this member sees them. */
@@ -183,6 +196,7 @@
   void AddPendingCall(std::uint64_t token, CallSource source,
                       std::uint64_t call_id, wire::WorkBody kind);
 
+  // Does nothing while updates are put off.
   void ProcessUpdates();
   void HandleRoleChange();
   void LogMembershipChange();
@@ -217,6 +231,7 @@
   placement::AdmissionControl m_admission;
   AdviceCache m_advice_cache;
   Moment m_moment;  // Time of the event being handled.
+  bool m_defers_updates = false;
   // When the batch that is being synced was taken; empty when there is none.
   std::optional<Instant> m_sync_started;
   Instant m_next_leadership_offer;
--- /dev/null
+++ b/src/net/frame_buffer.h
@@ -0,0 +1,68 @@
+// Bytes read from a connection, cut into length-prefixed frames.
+#ifndef BRONZEBARROW_NET_FRAME_BUFFER_H_
+#define BRONZEBARROW_NET_FRAME_BUFFER_H_
+
+#include <algorithm>
+#include <boost/endian/conversion.hpp>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace bronzebarrow::net {
+
+constexpr std::size_t kLengthPrefixBytes = 4;  // Frame length, little-endian.
+
+/** One read may bring many frames, and a large frame takes several reads. */
+class FrameBuffer {
+ public:
+  /** @return room for the next read; never empty. */
+  std::span<std::uint8_t> Room() {
+    const std::size_t wanted =
+        kLengthPrefixBytes + std::size_t{NextLength().value_or(0)};
+    std::copy(m_bytes.begin() + static_cast<std::ptrdiff_t>(m_begin),
+              m_bytes.begin() + static_cast<std::ptrdiff_t>(m_end),
+              m_bytes.begin());
+    m_end -= m_begin;
+    m_begin = 0;
+    m_bytes.resize(std::max({kReadBytes, wanted, m_end + 1}));
+    if (m_bytes.capacity() > 2 * m_bytes.size()) {
+      m_bytes.shrink_to_fit();
+    }
+    return {m_bytes.data() + m_end, m_bytes.size() - m_end};
+  }
+
+  /** Records that a read filled the first `count` bytes of the room. */
+  void OnRead(std::size_t count) { m_end += count; }
+
+  /** @return bytes of the next frame; nothing before its prefix is read. */
+  std::optional<std::uint32_t> NextLength() const {
+    if (m_end - m_begin < kLengthPrefixBytes) {
+      return std::nullopt;
+    }
+    return boost::endian::load_little_u32(m_bytes.data() + m_begin);
+  }
+
+  /** @return the next frame without its prefix; nothing if it is incomplete. */
+  std::optional<std::vector<std::uint8_t>> TakeFrame() {
+    const auto length = NextLength();
+    if (!length || m_end - m_begin - kLengthPrefixBytes < *length) {
+      return std::nullopt;
+    }
+    const std::uint8_t* const first =
+        m_bytes.data() + m_begin + kLengthPrefixBytes;
+    m_begin += kLengthPrefixBytes + *length;
+    return std::vector<std::uint8_t>(first, first + *length);
+  }
+
+ private:
+  static constexpr std::size_t kReadBytes = std::size_t{64} << 10;
+
+  std::vector<std::uint8_t> m_bytes;
+  std::size_t m_begin = 0;  // Of the bytes that are not taken yet.
+  std::size_t m_end = 0;
+};
+
+}  // namespace bronzebarrow::net
+
+#endif  // BRONZEBARROW_NET_FRAME_BUFFER_H_
--- a/src/net/frame_connection.cc
+++ b/src/net/frame_connection.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -16,14 +15,14 @@
 
 #include "bronzebarrow/base/event_log.h"
 #include "bronzebarrow/net/traffic.h"
-#include "bronzebarrow/wire/codec.h"
+#include "net/frame_buffer.h"
 
 namespace bronzebarrow::net {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kLengthPrefixBytes = 4;  // Frame length, little-endian.
+constexpr std::size_t kMaxFramesPerWrite = 64;
 
 std::shared_ptr<const std::vector<std::uint8_t>> EncodeFrame(
     const wire::FrameT& frame) {
@@ -53,7 +52,15 @@
 }
 
 void FrameConnection::Start(OnFrame on_frame, OnClose on_close) {
-  m_on_frame = std::move(on_frame);
+  StartReceiving(
+      [on_frame = std::move(on_frame)](
+          const std::shared_ptr<FrameConnection>& from,
+          const ReceivedFrame& frame) { on_frame(from, frame.Unpack()); },
+      std::move(on_close));
+}
+
+void FrameConnection::StartReceiving(OnReceived on_received, OnClose on_close) {
+  m_on_received = std::move(on_received);
   m_on_close = std::move(on_close);
   asio::co_spawn(
       m_strand, [self = shared_from_this()] { return self->ReadLoop(); },
@@ -74,8 +81,12 @@
     self->m_send_queue.push_back(bytes);
     if (!self->m_write_loop_running) {
       self->m_write_loop_running = true;
-      asio::co_spawn(
-          self->m_strand, [self] { return self->WriteLoop(); }, asio::detached);
+      // Posted, so that frames sent in the same event are in the queue by then.
+      asio::post(self->m_strand, [self] {
+        asio::co_spawn(
+            self->m_strand, [self] { return self->WriteLoop(); },
+            asio::detached);
+      });
     }
   });
 }
@@ -97,67 +108,75 @@
   }
 }
 
-asio::awaitable<std::unique_ptr<wire::FrameT>> FrameConnection::ReadFrame() {
-  boost::system::error_code error;
-  std::array<std::uint8_t, kLengthPrefixBytes> prefix{};
-  co_await asio::async_read(m_socket, asio::buffer(prefix),
-                            asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    co_return nullptr;
-  }
-  const std::uint32_t length = boost::endian::load_little_u32(prefix.data());
-  if (length > kMaxFrameBytes) {
-    EventLine(Event::kFrameRefused, Severity::kWarning)
-        .Field("code", ErrorCode::kFrameTooLarge)
-        .Field("bytes", length);
-    co_return nullptr;
-  }
-  std::vector<std::uint8_t> bytes(length);
-  co_await asio::async_read(m_socket, asio::buffer(bytes),
-                            asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    co_return nullptr;
-  }
-  Traffic::Global().m_bytes_received += kLengthPrefixBytes + length;
-  auto frame = wire::Decode<wire::Frame>(bytes);
-  if (!frame || frame->body.type == wire::Body::NONE ||
-      frame->body.value == nullptr) {
-    EventLine(Event::kFrameRefused, Severity::kWarning)
-        .Field("code", ErrorCode::kFrameInvalid)
-        .Field("bytes", length);
-    co_return nullptr;
+bool FrameConnection::HandOver(FrameBuffer& buffer) {
+  while (!m_closed) {
+    const std::uint32_t length = buffer.NextLength().value_or(0);
+    if (length > kMaxFrameBytes) {
+      EventLine(Event::kFrameRefused, Severity::kWarning)
+          .Field("code", ErrorCode::kFrameTooLarge)
+          .Field("bytes", length);
+      return false;
+    }
+    auto bytes = buffer.TakeFrame();
+    if (!bytes) {
+      return true;
+    }
+    Traffic::Global().m_bytes_received += kLengthPrefixBytes + length;
+    auto frame = ReceivedFrame::Verify(std::move(*bytes));
+    if (!frame) {
+      EventLine(Event::kFrameRefused, Severity::kWarning)
+          .Field("code", ErrorCode::kFrameInvalid)
+          .Field("bytes", length);
+      return false;
+    }
+    m_on_received(shared_from_this(), std::move(*frame));
   }
-  co_return frame;
+  return false;
 }
 
 asio::awaitable<void> FrameConnection::ReadLoop() {
   const auto self = shared_from_this();
-  while (!m_closed) {
-    auto frame = co_await ReadFrame();
-    if (!frame) {
+  FrameBuffer buffer;
+  do {
+    const std::span<std::uint8_t> room = buffer.Room();
+    boost::system::error_code error;
+    const std::size_t count = co_await m_socket.async_read_some(
+        asio::buffer(room.data(), room.size()),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
       break;
     }
-    m_on_frame(self, std::move(frame));
-  }
+    buffer.OnRead(count);
+  } while (HandOver(buffer));
   CloseOnStrand();
 }
 
 asio::awaitable<void> FrameConnection::WriteLoop() {
   const auto self = shared_from_this();
   while (!m_send_queue.empty()) {
-    const auto bytes = m_send_queue.front();
+    const std::size_t count = std::min(m_send_queue.size(), kMaxFramesPerWrite);
+    // Holds the frames when the connection is closed while they are written.
+    const std::vector<std::shared_ptr<const std::vector<std::uint8_t>>> frames(
+        m_send_queue.begin(),
+        m_send_queue.begin() + static_cast<std::ptrdiff_t>(count));
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(count);
+    for (const auto& frame : frames) {
+      buffers.push_back(asio::buffer(*frame));
+    }
     boost::system::error_code error;
-    co_await asio::async_write(
-        m_socket, asio::buffer(*bytes),
-        asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t written = co_await asio::async_write(
+        m_socket, buffers, asio::redirect_error(asio::use_awaitable, error));
     if (error || m_closed) {
       CloseOnStrand();
       break;
     }
-    Traffic::Global().m_bytes_sent += bytes->size();
-    ++Traffic::Global().m_frames_sent;
-    m_send_queue.pop_front();
-    m_unsent_bytes -= bytes->size();
+    Traffic::Global().m_bytes_sent += written;
+    Traffic::Global().m_frames_sent += count;
+    m_send_queue.erase(
+        m_send_queue.begin(),
+        m_send_queue.begin() + static_cast<std::ptrdiff_t>(count));
+    m_unsent_bytes -= written;
   }
   m_write_loop_running = false;
 }
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -3,6 +3,7 @@
 #include "bronzebarrow/node/member_node.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -33,6 +34,50 @@
 // Members send their view every 400 ms; two may be missing.
 constexpr Duration kRecentLeaderContact = Millis(1000);
 
+// Longest time between two turns of the sockets and timers.
+constexpr Duration kSliceTime = Millis(4);
+// Callers that are refused because the member is late return one after the
+// other at this interval, not sooner and not later than the two limits.
+constexpr Duration kReturnInterval = Millis(5);
+constexpr Duration kMinReturnDelay = Millis(500);
+constexpr Duration kMaxReturnDelay = Millis(4000);
+
+WorkClass ClassOf(wire::CallBody call) {
+  switch (call) {
+    case wire::CallBody::SubmitCall:
+      return WorkClass::kSubmit;
+    case wire::CallBody::ReadJobCall:
+    case wire::CallBody::CancelCall:
+      return WorkClass::kRead;
+    default:
+      return WorkClass::kReport;
+  }
+}
+
+WorkClass ClassOf(const wire::RelayedCall& call) {
+  switch (static_cast<runs::CallKind>(call.kind())) {
+    case runs::CallKind::kHold:
+      return WorkClass::kHold;
+    case runs::CallKind::kStart:
+      return WorkClass::kStart;
+    default:
+      return WorkClass::kStop;
+  }
+}
+
+// By class of work.
+const std::string& ClassLabel(WorkClass work_class) {
+  static const std::array<std::string, kWorkClasses> labels = [] {
+    std::array<std::string, kWorkClasses> built;
+    for (std::size_t i = 0; i < kWorkClasses; ++i) {
+      built[i] =
+          "class=\"" + std::string(NameOf(static_cast<WorkClass>(i))) + '"';
+    }
+    return built;
+  }();
+  return labels[static_cast<std::size_t>(work_class)];
+}
+
 // The clock by which the leader limits how long a relayed call may be sent.
 std::uint64_t ClockMillis() {
   return static_cast<std::uint64_t>(
@@ -108,6 +153,7 @@
           std::move(m_log_store->recovered().m_state), CurrentMoment())),
       m_leader_link(executor, m_settings.m_name, m_settings.m_seeds),
       m_relays(m_settings.m_relays),
+      m_inbox(m_settings.m_inbox),
       m_connection_pool(executor,
                         SerialPoolOptions(m_settings.m_connection_options)),
       m_tick_timer(executor) {}
@@ -116,9 +162,8 @@
   const auto self = shared_from_this();
   const auto on_socket = [self](asio::ip::tcp::socket socket) {
     auto connection = std::make_shared<net::FrameConnection>(std::move(socket));
-    connection->Start(
-        [self](const net::FrameConnectionPtr& from,
-               std::unique_ptr<wire::FrameT> frame) {
+    connection->StartReceiving(
+        [self](const net::FrameConnectionPtr& from, net::ReceivedFrame frame) {
           self->OnFrame(from, std::move(frame));
         },
         [self](const net::FrameConnectionPtr& from) {
@@ -153,7 +198,7 @@
           co_await timer.async_wait(
               asio::redirect_error(asio::use_awaitable, ignored));
           if (!self->m_core->CanServe(Now()) && self->m_remote_calls.empty() &&
-              self->m_local_calls.empty()) {
+              self->m_local_calls.empty() && self->m_inbox.empty()) {
             break;
           }
         }
@@ -186,6 +231,7 @@
     peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
     std::erase(peers, self->m_settings.m_name);
     self->m_core->SetPeers(std::move(peers));
+    self->ServeBeforeTick();
     self->HandleOverdueCalls();
     self->m_core->Tick(CurrentMoment());
     self->PerformActions();
@@ -218,38 +264,177 @@
 }
 
 void MemberNode::OnFrame(const net::FrameConnectionPtr& connection,
-                         std::unique_ptr<wire::FrameT> frame) {
+                         net::ReceivedFrame received) {
   if (m_stopping) {
     return;
   }
   ++m_load.m_frames;
-  if (frame->body.type == wire::Body::ViewRequest) {
-    m_watchers.insert(connection);
-    SendView(connection);
+  Incoming incoming;
+  incoming.m_connection = connection;
+  incoming.m_frame =
+      std::make_shared<const net::ReceivedFrame>(std::move(received));
+  const wire::Frame& frame = incoming.m_frame->table();
+  if (const wire::RelayedCalls* relayed = frame.body_as_RelayedCalls()) {
+    const std::uint32_t calls =
+        relayed->calls() == nullptr ? 0 : relayed->calls()->size();
+    m_load.m_relayed_calls += calls;
+    for (std::uint32_t i = 0; i < calls; ++i) {
+      Push(ClassOf(*relayed->calls()->Get(i)),
+           {connection, incoming.m_frame, i, {}, nullptr});
+    }
+  } else if (const wire::Call* call = frame.body_as_Call()) {
+    ++m_load.m_calls;
+    m_metrics.Count("bronzebarrow_calls_received_total",
+                    std::string("call=\"") +
+                        wire::EnumNameCallBody(call->body_type()) + '"');
+    const WorkClass work_class = ClassOf(call->body_type());
+    const Duration patience =
+        call->wait_ms() == 0 ? Inbox::kUnlimited : Millis(call->wait_ms());
+    Push(work_class, std::move(incoming), patience);
+  } else {
+    if (frame.body_type() == wire::Body::ViewRequest) {
+      m_watchers.insert(connection);
+    }
+    Push(WorkClass::kConsensus, std::move(incoming));
+  }
+}
+
+void MemberNode::Push(WorkClass work_class, Incoming incoming,
+                      Duration patience) {
+  m_inbox.Push(work_class, std::move(incoming), Now(), patience);
+  if (!m_slice_scheduled) {
+    m_slice_scheduled = true;
+    asio::post(m_executor, [self = shared_from_this()] { self->ServeSlice(); });
+  }
+}
+
+void MemberNode::ServeSlice() {
+  m_slice_scheduled = false;
+  if (m_stopping) {
     return;
   }
-  if (auto* relayed = frame->body.AsRelayedCalls()) {
-    m_load.m_relayed_calls += relayed->calls.size();
-    for (auto& call : relayed->calls) {
-      asio::co_spawn(m_executor, CarryOut(connection, std::move(call)),
-                     asio::detached);
+  m_core->DeferUpdates();
+  Instant now = Now();
+  const Instant end = now + kSliceTime;
+  while (now < end) {
+    auto popped = m_inbox.Pop(now);
+    if (!popped) {
+      break;
     }
+    Serve(*popped);
+    now = Now();
+  }
+  m_core->ProcessDeferredUpdates(CurrentMoment());
+  PerformActions();
+  if (!m_inbox.empty() && !m_slice_scheduled) {
+    m_slice_scheduled = true;
+    asio::post(m_executor, [self = shared_from_this()] { self->ServeSlice(); });
+  }
+}
+
+// A late member must not take another one for silent whose messages it has.
+void MemberNode::ServeBeforeTick() {
+  m_core->DeferUpdates();
+  while (m_inbox.size(WorkClass::kConsensus) +
+             m_inbox.size(WorkClass::kRunnerAnswer) >
+         0) {
+    auto popped = m_inbox.Pop(Now());
+    Serve(*popped);
+  }
+  m_core->ProcessDeferredUpdates(CurrentMoment());
+}
+
+void MemberNode::Serve(Inbox::Popped& popped) {
+  const std::string& label = ClassLabel(popped.m_class);
+  m_metrics.Observe("bronzebarrow_inbox_seconds", label,
+                    std::chrono::duration<double>(popped.m_waited).count());
+  if (popped.m_state == WorkState::kOverdue) {
+    m_metrics.Count("bronzebarrow_calls_dropped_total", label);
     return;
   }
-  if (const auto* call = frame->body.AsCall()) {
-    const CallSource source = m_next_source++;
-    m_remote_calls[source] = connection;
-    ++m_load.m_calls;
-    m_metrics.Count(
-        "bronzebarrow_calls_received_total",
-        std::string("call=\"") + wire::EnumNameCallBody(call->body.type) + '"');
-    m_core->OnCall(source, *call, CurrentMoment());
-  } else if (frame->receiver_generation == 0 ||
-             frame->receiver_generation == m_id.m_generation) {
+  (this->*Servers()[static_cast<std::size_t>(popped.m_class)])(popped);
+}
+
+const std::array<MemberNode::Server, kWorkClasses>& MemberNode::Servers() {
+  static const std::array<Server, kWorkClasses> servers = {
+      &MemberNode::ServeMemberFrame, &MemberNode::ServeAnswers,
+      &MemberNode::ServeRelayedCall, &MemberNode::ServeRelayedCall,
+      &MemberNode::ServeRelayedCall, &MemberNode::ServeCall,
+      &MemberNode::ServeCall,        &MemberNode::ServeCall};
+  return servers;
+}
+
+void MemberNode::ServeMemberFrame(Inbox::Popped& popped) {
+  const wire::Frame& table = popped.m_item.m_frame->table();
+  if (table.body_type() == wire::Body::ViewRequest) {
+    SendView(popped.m_item.m_connection);
+  } else if (table.receiver_generation() == 0 ||
+             table.receiver_generation() == m_id.m_generation) {
+    const std::unique_ptr<wire::FrameT> frame = popped.m_item.m_frame->Unpack();
     m_core->OnPeerMessage({frame->sender, frame->generation}, frame->body,
                           CurrentMoment());
   }
-  PerformActions();
+}
+
+void MemberNode::ServeAnswers(Inbox::Popped& popped) {
+  const std::string& member = popped.m_item.m_member;
+  for (const auto& relayed : popped.m_item.m_answers->answers) {
+    if (const auto call = m_relays.Take(member, relayed->id)) {
+      OnRunnerAnswer(*call, FromWire(*relayed));
+    }
+  }
+}
+
+void MemberNode::ServeRelayedCall(Inbox::Popped& popped) {
+  const wire::RelayedCall* const call =
+      popped.m_item.m_frame->table().body_as_RelayedCalls()->calls()->Get(
+          popped.m_item.m_index);
+  asio::co_spawn(m_executor,
+                 CarryOut(popped.m_item.m_connection,
+                          std::unique_ptr<wire::RelayedCallT>(call->UnPack())),
+                 asio::detached);
+}
+
+void MemberNode::ServeCall(Inbox::Popped& popped) {
+  const wire::Call& call = *popped.m_item.m_frame->table().body_as_Call();
+  if (popped.m_state == WorkState::kTooOld && m_core->CanServe(Now()) &&
+      !MayBeKnown(call.body_as_SubmitCall())) {
+    RefuseSubmit(popped, call);
+    return;
+  }
+  const CallSource source = m_next_source++;
+  m_remote_calls[source] = popped.m_item.m_connection;
+  wire::CallT unpacked;
+  call.UnPackTo(&unpacked);
+  m_core->OnCall(source, unpacked, CurrentMoment());
+}
+
+bool MemberNode::MayBeKnown(const wire::SubmitCall* submit) const {
+  return submit == nullptr || submit->job() == nullptr ||
+         submit->job()->id() == nullptr ||
+         m_core->MayHaveJob(submit->job()->id()->string_view());
+}
+
+void MemberNode::RefuseSubmit(const Inbox::Popped& popped,
+                              const wire::Call& call) {
+  m_metrics.Count("bronzebarrow_calls_refused_total",
+                  ClassLabel(popped.m_class));
+  const Instant now = Now();
+  const Instant first_return = now + std::max(kMinReturnDelay, popped.m_waited);
+  m_next_return = std::max(m_next_return + kReturnInterval, first_return);
+  if (m_next_return > now + kMaxReturnDelay) {
+    m_next_return = first_return;  // The whole time is given out: start again.
+  }
+  wire::CallReplyT reply;
+  reply.id = call.id();
+  reply.outcome = wire::CallOutcome::Refused;
+  reply.text = "the leader is behind with its work";
+  reply.retry_after_ms = static_cast<std::uint32_t>(
+      ToMillis(std::min(m_next_return - now, kMaxReturnDelay)));
+  wire::FrameT frame;
+  frame.sender = m_settings.m_name;
+  frame.body.Set(std::move(reply));
+  popped.m_item.m_connection->Send(frame);
 }
 
 void MemberNode::SendView(const net::FrameConnectionPtr& connection) {
@@ -545,16 +730,15 @@
     m_relays.OnClock(member, view->clock_ms, now);
     return;
   }
-  const auto* const batch = frame.body.AsRelayedAnswers();
+  auto* const batch = frame.body.AsRelayedAnswers();
   if (batch == nullptr || m_stopping) {
     return;
   }
-  for (const auto& relayed : batch->answers) {
-    if (const auto call = m_relays.Take(member, relayed->id)) {
-      OnRunnerAnswer(*call, FromWire(*relayed));
-    }
-  }
-  PerformActions();
+  Incoming incoming;
+  incoming.m_member = member;
+  incoming.m_answers =
+      std::make_unique<wire::RelayedAnswersT>(std::move(*batch));
+  Push(WorkClass::kRunnerAnswer, std::move(incoming));
 }
 
 void MemberNode::HandleOverdueCalls() {
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -97,6 +97,12 @@
   Reply(waiting.m_source, waiting.m_call_id, wire::CallOutcome::Accepted);
 }
 
+bool WorkCore::MayHaveJob(std::string_view id) const {
+  const auto job = jobs::ParseJobId(id);
+  return !job || m_state.FindJob(*job) != nullptr ||
+         m_pending_submits.contains(*job);
+}
+
 void WorkCore::Submit(CallSource source, std::uint64_t call_id,
                       const wire::CallBodyUnion& body) {
   const wire::SubmitCallT& submit = *body.AsSubmitCall();
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -277,7 +277,18 @@
   return token;
 }
 
+void WorkCore::ProcessDeferredUpdates(Moment moment) {
+  m_moment = moment;
+  m_defers_updates = false;
+  ProcessUpdates();
+}
+
 void WorkCore::ProcessUpdates() {
+  const bool same_role =
+      m_replica.role() == m_last_role && m_replica.term() == m_last_term;
+  if (m_defers_updates && same_role) {
+    return;
+  }
   HandleRoleChange();
   LogMembershipChange();
   ApplyCommitted();
