Send holds before stops and starts

They are now sorted by class before they leave, directly or relayed; the relaying member's inbox keeps that order. No test shows the order on the wire; work_inbox_test shows it at the relaying member.

--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -54,8 +54,8 @@
   }
 }
 
-WorkClass ClassOf(const wire::RelayedCall& call) {
-  switch (static_cast<runs::CallKind>(call.kind())) {
+WorkClass ClassOf(runs::CallKind call) {
+  switch (call) {
     case runs::CallKind::kHold:
       return WorkClass::kHold;
     case runs::CallKind::kStart:
@@ -279,7 +279,8 @@
         relayed->calls() == nullptr ? 0 : relayed->calls()->size();
     m_load.m_relayed_calls += calls;
     for (std::uint32_t i = 0; i < calls; ++i) {
-      Push(ClassOf(*relayed->calls()->Get(i)),
+      Push(ClassOf(
+               static_cast<runs::CallKind>(relayed->calls()->Get(i)->kind())),
            {connection, incoming.m_frame, i, {}, nullptr});
     }
   } else if (const wire::Call* call = frame.body_as_Call()) {
@@ -695,6 +696,10 @@
 // Calls to a runner that left the last one unanswered go directly, in case only
 // the other member cannot reach it.
 void MemberNode::SendRunnerCalls(std::vector<runs::RunnerCall> calls) {
+  std::stable_sort(calls.begin(), calls.end(),
+                   [](const runs::RunnerCall& a, const runs::RunnerCall& b) {
+                     return ClassOf(a.m_kind) < ClassOf(b.m_kind);
+                   });
   const Instant now = Now();
   const std::size_t runners = m_core->state().runners().size();
   std::map<std::string, wire::RelayedCallsT> batches;
