Don't take a member's own lateness for the silence of its relays

Callers saw runners fall silent in groups under overload: after a tick that was late, RelayTable::TakeOverdue judged by wall time before the frames in the socket buffers were read, so all relayed calls counted as unanswered and all members as silent. Permissions to send are not extended: they depend on the clock reading, which stays.

Run after the change: relay_table_test and work_core_test pass.

--- a/include/bronzebarrow/node/relay_table.h
+++ b/include/bronzebarrow/node/relay_table.h
@@ -74,6 +74,12 @@
    */
   std::optional<runs::RunnerCall> Take(const std::string& member,
                                        std::uint64_t id);
+  /**
+   * This process did not run for `span` up to now, so frames that arrived
+   * meanwhile may not have been read: postpones the silence of members and the
+   * time at which calls are overdue. Permissions to send are not extended.
+   */
+  void OnUnattended(Duration span, Instant now);
   /** @return the calls that count as unanswered from now on. */
   std::vector<runs::RunnerCall> TakeOverdue(Instant now);
   std::size_t pending() const { return m_pending.size(); }
--- a/src/node/relay_table.cc
+++ b/src/node/relay_table.cc
@@ -85,6 +85,15 @@
   return call;
 }
 
+void RelayTable::OnUnattended(Duration span, Instant now) {
+  for (auto& [name, member] : m_members) {
+    member.m_last_frame = std::min(member.m_last_frame + span, now);
+  }
+  for (auto& [id, pending] : m_pending) {
+    pending.m_overdue_at += span;
+  }
+}
+
 std::vector<runs::RunnerCall> RelayTable::TakeOverdue(Instant now) {
   std::map<std::string, bool> is_live;
   for (const auto& [name, member] : m_members) {
--- a/tests/relay_table_test.cc
+++ b/tests/relay_table_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(MemberWithUnknownClockGetsNoCalls);
   CPPUNIT_TEST(PermissionEndsWithTheLeadership);
   CPPUNIT_TEST(CallsOfASilentMemberAreUnanswered);
+  CPPUNIT_TEST(TimeWithoutAttentionIsNoSilence);
   CPPUNIT_TEST(CallsOfARestartedMemberAreUnanswered);
   CPPUNIT_TEST(LateAnswerHasNoCall);
   CPPUNIT_TEST(CallsAndAnswersSurviveTheWire);
@@ -112,6 +113,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_table->pending());
   }
 
+  // Guards against an owner that was late itself and takes answers for missing
+  // that it has not read yet.
+  void TimeWithoutAttentionIsNoSilence() {
+    runs::RunnerCall hold;
+    hold.m_wait_ms = 1000;
+    const auto relayed = m_table->Add("a", hold, m_now + Millis(900), m_now);
+    m_now += Millis(5000);
+    m_table->OnUnattended(Millis(4900), m_now);
+    CPPUNIT_ASSERT(m_table->TakeOverdue(m_now).empty());
+    CPPUNIT_ASSERT(Spread().contains("a"));
+    const auto later = m_table->Add("a", hold, m_now - Millis(4100), m_now);
+    CPPUNIT_ASSERT_EQUAL(relayed.not_after_ms, later.not_after_ms);
+    m_now += Millis(801);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_table->TakeOverdue(m_now).size());
+    CPPUNIT_ASSERT(!Spread().contains("a"));
+  }
+
   void CallsOfARestartedMemberAreUnanswered() {
     m_table->Add("a", runs::RunnerCall(), m_now + Millis(900), m_now);
     m_table->OnConnect("a");
