Compute a job's longest chain of steps once

Each plan and each balance of the pools computed the longest chain of dependencies of every startable job anew, with an allocation. It depends on the specification only, so SetSpec computes it with the critical path. The results are the same; no test of its own. Its share of the cost of a plan was not measured apart.

--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -65,6 +65,8 @@
   // Length of the critical path over all steps, from the estimates of the
   // specification. Derived from m_spec; both are set by SetSpec.
   std::int64_t m_critical_path_ms = 0;
+  // Steps of the longest chain of dependencies. Derived as well.
+  std::size_t m_longest_chain = 0;
   std::uint32_t m_opened = 0;    // Occurrences below this number were opened.
   std::uint32_t m_finished = 0;  // Number of occurrences that are done.
   // Occurrences that are opened and not done, by number.
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -53,6 +53,14 @@
     step.m_tasks.resize(1);
   }
   m_critical_path_ms = CriticalPathMs(&new_occurrence);
+  std::vector<std::size_t> chain(m_spec.steps.size(), 1);
+  m_longest_chain = 0;
+  for (std::size_t i = 0; i < chain.size(); ++i) {
+    for (const std::uint32_t dependency : m_spec.steps[i]->depends_on) {
+      chain[i] = std::max(chain[i], chain[dependency] + 1);
+    }
+    m_longest_chain = std::max(m_longest_chain, chain[i]);
+  }
 }
 
 wire::JobPhase Job::Phase() const {
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -103,16 +103,8 @@
   if (typical == m_step_ms.end()) {
     return declared_ms;
   }
-  std::vector<std::size_t> chain(job.m_spec.steps.size(), 1);
-  std::size_t longest = 0;
-  for (std::size_t i = 0; i < chain.size(); ++i) {
-    for (const std::uint32_t dependency : job.m_spec.steps[i]->depends_on) {
-      chain[i] = std::max(chain[i], chain[dependency] + 1);
-    }
-    longest = std::max(longest, chain[i]);
-  }
-  const auto typical_ms =
-      static_cast<std::int64_t>(typical->second * static_cast<double>(longest));
+  const auto typical_ms = static_cast<std::int64_t>(
+      typical->second * static_cast<double>(job.m_longest_chain));
   return (declared_ms + 2 * typical_ms) / 3;
 }
 
