Pace plans by what they look at

In a demand peak each commit asked for another plan 15 ms after the last one, whatever a plan cost. On a member that is short of processor time, planning took the time of calls and leases.

A plan counts the jobs, runners and candidates that it looks at, and the pause until the next one grows with them, between 15 and 100 ms. The core has no clock, so the count stands for time. A plan also no longer copies the typical steps of all queues, and a tick copies them, with the rejected demand, only when the pools are balanced in it.

With 10 jobs the pause stays at 15 ms.

PauseGrowsWithTheCostOfAPlan checks the count and the bounds of the pause. The functions are new, so it has no earlier failure.

--- a/include/bronzebarrow/node/machine_planner.h
+++ b/include/bronzebarrow/node/machine_planner.h
@@ -97,7 +97,14 @@
   /** @return whether an upkeep of the machine is due in some wave. */
   bool IsUpkeepDue(const std::string& machine) const;
 
-  /** @param milli by pool, as AdmissionControl::RejectedMilli */
+  /** @return whether the next Tick at `now` rebalances the pools. */
+  bool IsBalanceDue(Instant now) const {
+    return m_epoch != 0 && now >= m_next_balance;
+  }
+  /**
+   * Called before each Tick that rebalances.
+   * @param milli by pool, as AdmissionControl::RejectedMilli
+   */
   void SetDemandInputs(std::map<std::string, std::int64_t> milli,
                        placement::TypicalSteps typical) {
     m_rejected_milli = std::move(milli);
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -19,6 +19,7 @@
 #include "bronzebarrow/jobs.h"
 #include "bronzebarrow/node/advice_book.h"
 #include "bronzebarrow/node/machine_planner.h"
+#include "bronzebarrow/placement.h"
 #include "bronzebarrow/runs.h"
 
 namespace bronzebarrow::node {
@@ -257,6 +258,7 @@
   bool m_plan_needed = false;
   Instant m_next_plan;
   Instant m_last_plan;
+  Duration m_plan_pause = placement::kMinPlanInterval;  // After m_last_plan.
   Instant m_next_housekeeping;
   std::uint64_t m_next_token = 1;
 
--- a/include/bronzebarrow/placement/planner.h
+++ b/include/bronzebarrow/placement/planner.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "bronzebarrow/base/time.h"
 #include "bronzebarrow/jobs.h"
 #include "bronzebarrow/placement/job_order.h"
 
@@ -63,7 +64,7 @@
 
   const jobs::WorkState& m_state;
   std::uint64_t m_now_ms = 0;
-  TypicalSteps m_typical;
+  const TypicalSteps* m_typical = nullptr;  // Null: none is known.
   std::function<bool(const jobs::Runner& runner)> m_is_usable;
   /**
    * Whether the machine goes down soon for upkeep; long-running tasks are
@@ -93,8 +94,29 @@
   std::size_t m_max_runs = 400;
 };
 
-/** @return runs to assign; all of them fit into the runners' free capacity. */
-std::vector<Placement> PlanAssignments(const PlanInput& input);
+/** What one plan has looked at, as a measure of its processor time. */
+struct PlanCost {
+  std::size_t m_jobs = 0;        // Ranked.
+  std::size_t m_runners = 0;     // Of the pools with startable tasks.
+  std::size_t m_candidates = 0;  // Compared for a task, once for each task.
+};
+
+/**
+ * @return time from the start of a plan of this cost to that of the next one,
+ * so that plans take a bounded share of a processor
+ */
+Duration PauseAfterPlan(const PlanCost& cost);
+
+/** Pauses after the cheapest and after the most expensive plans. */
+constexpr Duration kMinPlanInterval = Millis(15);
+constexpr Duration kMaxPlanInterval = Millis(100);
+
+/**
+ * @param cost if not null, is set to the cost of the plan
+ * @return runs to assign; all of them fit into the runners' free capacity
+ */
+std::vector<Placement> PlanAssignments(const PlanInput& input,
+                                       PlanCost* cost = nullptr);
 
 }  // namespace bronzebarrow::placement
 
--- a/src/node/machine_planner.cc
+++ b/src/node/machine_planner.cc
@@ -220,7 +220,7 @@
     }
     SelectForUpkeep(wave, now);
   }
-  if (now >= m_next_balance) {
+  if (IsBalanceDue(now)) {
     m_next_balance = now + m_options.m_balance_interval;
     BalancePools(moment);
   }
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -16,12 +16,6 @@
 // Limit of log entries proposed and not yet applied: one that is being synced
 // and one behind it. Further commands are gathered into the next entry.
 constexpr std::uint64_t kMaxBatchesInFlight = 2;
-// A plan is made at least this often, even when no command was applied: with
-// time, runners become usable again and the order of the jobs changes.
-constexpr Duration kMaxPlanInterval = Millis(100);
-// Minimum interval between two plans. A plan scans all runners and active
-// jobs, so in a burst several commits share one plan.
-constexpr Duration kMinPlanInterval = Millis(15);
 constexpr Duration kHousekeepingInterval = Millis(1000);
 // A sync takes 9 ms on the users' machines; one that takes thirty times as long
 // counts as a disk fault.
@@ -56,8 +50,10 @@
     AnswerOverdueLeaves();
     if (CanServe(moment.m_now)) {
       m_dispatcher.Tick(moment.m_now);
-      m_machine_planner.SetDemandInputs(m_admission.RejectedMilli(moment.m_now),
-                                        m_admission.typical());
+      if (m_machine_planner.IsBalanceDue(moment.m_now)) {
+        m_machine_planner.SetDemandInputs(
+            m_admission.RejectedMilli(moment.m_now), m_admission.typical());
+      }
       m_machine_planner.Tick(
           moment, {m_next_token, m_pending_assignments.empty()
                                      ? m_next_token
@@ -516,16 +512,18 @@
 
 void WorkCore::PlanAssignments() {
   if (!CanServe(m_moment.m_now) || !m_pending_assignments.empty() ||
-      m_moment.m_now < m_last_plan + kMinPlanInterval ||
+      m_moment.m_now < m_last_plan + m_plan_pause ||
       !(m_plan_needed || m_moment.m_now >= m_next_plan)) {
     return;
   }
   m_plan_needed = false;
-  m_next_plan = m_moment.m_now + kMaxPlanInterval;
+  // Even when no command is applied: with time, runners become usable again and
+  // the order of the jobs changes.
+  m_next_plan = m_moment.m_now + placement::kMaxPlanInterval;
   m_last_plan = m_moment.m_now;
   placement::PlanInput input(m_state);
   input.m_now_ms = m_moment.m_wall_ms;
-  input.m_typical = m_admission.typical();
+  input.m_typical = &m_admission.typical();
   input.m_is_usable = [this](const jobs::Runner& runner) {
     return m_dispatcher.IsUsable(runner.m_record.id, m_moment.m_now) &&
            m_machine_planner.AcceptsWork(runner);
@@ -549,7 +547,11 @@
     return m_machine_planner.IsUpkeepDue(machine);
   };
   input.m_adviser = &m_advice_cache;
-  for (placement::Placement& placement : placement::PlanAssignments(input)) {
+  placement::PlanCost cost;
+  const auto placements = placement::PlanAssignments(input, &cost);
+  // In a burst several commits share one plan.
+  m_plan_pause = placement::PauseAfterPlan(cost);
+  for (const placement::Placement& placement : placements) {
     wire::AssignRunsT assign;
     assign.runner = placement.m_runner;
     assign.born_ms = placement.m_born_ms;
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -23,6 +23,11 @@
                                         : runner.m_record.labels.back();
 }
 
+// Pause for each look of a plan, a multiple of its processor time.
+constexpr std::chrono::microseconds kPausePerJob{20};
+constexpr std::chrono::microseconds kPausePerRunner{5};
+constexpr std::chrono::microseconds kPausePerCandidate{1};
+
 // Limit of suspects whose trials share a runner: if it crashes, all of them
 // need a trial of their own.
 constexpr std::size_t kMaxSharedTrials = 8;
@@ -32,6 +37,7 @@
  public:
   PlanningPass(const PlanInput& input, const std::vector<RankedJob>& ranking)
       : m_input(input) {
+    m_cost.m_jobs = ranking.size();
     for (const RankedJob& ranked : ranking) {
       m_pools[ranked.m_queue->pool].AddNeeds(*ranked.m_job);
     }
@@ -96,6 +102,8 @@
     return placements;
   }
 
+  const PlanCost& cost() const { return m_cost; }
+
   bool HasReachedMaxRuns() const { return m_runs >= m_input.m_max_runs; }
 
  private:
@@ -150,7 +158,9 @@
         m_input.m_count_crashed ? m_input.m_count_crashed(name) : 0;
     pool.m_keeps_jobs_apart =
         m_input.m_keeps_jobs_apart && m_input.m_keeps_jobs_apart(name);
-    for (const auto& [id, runner] : m_input.m_state.RunnersOfPool(name)) {
+    const auto& runners = m_input.m_state.RunnersOfPool(name);
+    m_cost.m_runners += runners.size();
+    for (const auto& [id, runner] : runners) {
       const jobs::Resources free = runner->FreeResources();
       if (runner->m_record.draining || !pool.m_least_need) {
         continue;
@@ -391,6 +401,7 @@
                              std::uint32_t, std::int64_t, std::int64_t>;
     Candidate* best = nullptr;
     Score best_score;
+    m_cost.m_candidates += candidates.size();
     for (Candidate& candidate : candidates) {
       const jobs::Runner& runner = *candidate.m_runner;
       const std::string& id = runner.m_record.id;
@@ -505,13 +516,27 @@
   std::map<std::string, Pool> m_pools;
   std::map<std::string, Placement> m_placements;
   std::size_t m_runs = 0;
+  PlanCost m_cost;
 };
 
 }  // namespace
 
-std::vector<Placement> PlanAssignments(const PlanInput& input) {
+Duration PauseAfterPlan(const PlanCost& cost) {
+  const Duration pause =
+      kPausePerJob * static_cast<std::int64_t>(cost.m_jobs) +
+      kPausePerRunner * static_cast<std::int64_t>(cost.m_runners) +
+      kPausePerCandidate * static_cast<std::int64_t>(cost.m_candidates);
+  return std::clamp(pause, kMinPlanInterval, kMaxPlanInterval);
+}
+
+std::vector<Placement> PlanAssignments(const PlanInput& input, PlanCost* cost) {
+  if (cost != nullptr) {
+    *cost = PlanCost();
+  }
+  static const TypicalSteps none_known;
   const std::vector<RankedJob> ranking =
-      RankJobs(input.m_state, input.m_now_ms, input.m_typical);
+      RankJobs(input.m_state, input.m_now_ms,
+               input.m_typical == nullptr ? none_known : *input.m_typical);
   if (ranking.empty()) {
     return {};
   }
@@ -523,6 +548,9 @@
     }
     pass.PlaceJob(ranked);
   }
+  if (cost != nullptr) {
+    *cost = pass.cost();
+  }
   return pass.TakePlacements();
 }
 
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(SuspectsOfOlderCrashesShareATrial);
   CPPUNIT_TEST(TrialWaitsUntilTheOtherRunsHaveSettled);
   CPPUNIT_TEST(TrialsLeaveThePoolMostOfItsRunners);
+  CPPUNIT_TEST(PauseGrowsWithTheCostOfAPlan);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -486,6 +487,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{8}, tried.begin()->second);
   }
 
+  // Load pattern: in a demand peak of a large site 1,000 jobs wait for 1,100
+  // runners while each commit asks for another plan.
+  void PauseGrowsWithTheCostOfAPlan() {
+    PlanCost cost;
+    CPPUNIT_ASSERT(PauseAfterPlan(cost) == kMinPlanInterval);
+    cost = {.m_jobs = 1000, .m_runners = 1100, .m_candidates = 8000};
+    CPPUNIT_ASSERT(PauseAfterPlan(cost) > kMinPlanInterval * 2);
+    CPPUNIT_ASSERT(PauseAfterPlan(cost) < kMaxPlanInterval);
+    cost.m_jobs = 100'000;
+    CPPUNIT_ASSERT(PauseAfterPlan(cost) == kMaxPlanInterval);
+    PlanInput input(*m_state);
+    input.m_now_ms = kNowMs;
+    input.m_is_usable = [](const jobs::Runner&) { return true; };
+    CPPUNIT_ASSERT(PlanAssignments(input, &cost).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cost.m_runners + cost.m_jobs);
+    Submit(1, MakeStep(2), kNowMs);
+    Submit(2, MakeStep(2), kNowMs);
+    CPPUNIT_ASSERT(!PlanAssignments(input, &cost).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cost.m_jobs);
+    CPPUNIT_ASSERT_EQUAL(m_state->runners().size(), cost.m_runners);
+    CPPUNIT_ASSERT_EQUAL(2 * m_state->runners().size(), cost.m_candidates);
+  }
+
  private:
   static constexpr std::int64_t kTaskMilli = 1'000;
   static constexpr std::int64_t kMachineMemoryMb = 64'000;
