Serve the work of the overload model in the order of WorkInbox

The model now uses the product's WorkInbox, sends a call once with the time that its caller still waits, as LeaderLink does, drops overdue calls and refuses submits that are too old. Timers and ends of disk writes do not pass through the inbox. The cost of a call follows the prefixes that QueueTable::Route reports as compared.

--- a/tests/overload_model.cc
+++ b/tests/overload_model.cc
@@ -14,7 +14,7 @@
 constexpr Duration kTickInterval = Millis(25);
 constexpr Duration kNetworkDelay = Millis(1);
 // As LeaderLink and the members' views.
-constexpr Duration kAttemptTimeout = Millis(700);
+constexpr Duration kNoLeaderRetryInterval = Millis(40);
 constexpr Duration kViewInterval = Millis(400);
 // How long the caller of a submit or read waits for its answer.
 constexpr Duration kPatience = Millis(3000);
@@ -66,6 +66,30 @@
   return wire::Encode<wire::Frame>(frame);
 }
 
+std::string PathOf(const wire::CallBodyUnion& body) {
+  if (const auto* const submit = body.AsSubmitCall()) {
+    return submit->path;
+  }
+  const auto* const read = body.AsReadJobCall();
+  return read == nullptr ? "" : read->path;
+}
+
+WorkClass ClassOf(WorkKind kind) {
+  switch (kind) {
+    case WorkKind::kAnswer:
+      return WorkClass::kRunnerAnswer;
+    case WorkKind::kReport:
+    case WorkKind::kConfig:
+      return WorkClass::kReport;
+    case WorkKind::kRead:
+      return WorkClass::kRead;
+    case WorkKind::kSubmit:
+      return WorkClass::kSubmit;
+    default:
+      return WorkClass::kConsensus;
+  }
+}
+
 // The cost table's kind of a call.
 WorkKind KindOf(const wire::CallBodyUnion& body) {
   switch (body.type) {
@@ -297,38 +321,41 @@
   caller.m_gives_up = m_now + kPatience;
   caller.m_is_counted = is_counted;
   Current().m_calls += is_counted ? 1 : 0;
-  SendCopy(id);
+  Schedule(kPatience, [this, id] { m_callers.erase(id); });
+  Send(id);
 }
 
-void OverloadModel::SendCopy(std::uint64_t id) {
+// As LeaderLink: a call goes once over a live connection, with the time that
+// its caller still waits.
+void OverloadModel::Send(std::uint64_t id) {
   const auto found = m_callers.find(id);
-  if (found == m_callers.end()) {
+  if (found == m_callers.end() || m_now >= found->second.m_gives_up) {
     return;
   }
   Caller& caller = found->second;
-  if (m_now >= caller.m_gives_up) {
-    m_callers.erase(found);
-    return;
-  }
-  const WorkKind kind = KindOf(caller.m_call.body);
-  const bool is_copy = std::exchange(caller.m_is_sent, true);
-  m_result.m_copies += is_copy ? 1 : 0;
-  const auto perform = [this, bytes = EncodeFrame(caller.m_call)] {
+  const Duration patience = caller.m_gives_up - m_now;
+  caller.m_call.wait_ms = static_cast<std::uint32_t>(ToMillis(patience));
+  Work work;
+  work.m_kind = KindOf(caller.m_call.body);
+  work.m_call = id;
+  work.m_path = PathOf(caller.m_call.body);
+  work.m_perform = [this, bytes = EncodeFrame(caller.m_call)] {
     const auto frame = wire::Decode<wire::Frame>(bytes);
     const wire::CallT& call = *frame->body.AsCall();
     m_core->OnCall(call.id, call, VirtualMoment());
   };
-  Schedule(kNetworkDelay,
-           [this, kind, perform, is_copy] { Receive(kind, perform, is_copy); });
-  Schedule(kAttemptTimeout, [this, id] { SendCopy(id); });
+  Schedule(kNetworkDelay, [this, work, patience] { Receive(work, patience); });
 }
 
 void OverloadModel::OnReply(const wire::CallReplyT& reply) {
   const auto found = m_callers.find(reply.id);
-  if (found == m_callers.end() || m_now >= found->second.m_gives_up ||
-      reply.outcome == wire::CallOutcome::NotLeader ||
+  if (found == m_callers.end()) {
+    return;
+  }
+  if (reply.outcome == wire::CallOutcome::NotLeader ||
       reply.outcome == wire::CallOutcome::Unknown) {
-    return;  // The next attempt follows.
+    Schedule(kNoLeaderRetryInterval, [this, id = reply.id] { Send(id); });
+    return;
   }
   const Caller& caller = found->second;
   PhaseResult& phase =
@@ -345,49 +372,82 @@
   m_callers.erase(found);
 }
 
-ProcessorLoad OverloadModel::CurrentLoad() const {
+ProcessorLoad OverloadModel::CurrentLoad(const Work& work) const {
   ProcessorLoad load;
   load.m_runners = m_core->state().runners().size();
   load.m_routes = m_core->state().queues().config().queues.size();
+  if (!work.m_path.empty()) {
+    m_core->state().queues().Route(kHost, work.m_path,
+                                   &load.m_compared_prefixes);
+  }
   load.m_active_jobs = m_core->state().active().size();
   load.m_batch_bytes = m_batch_bytes;
   return load;
 }
 
-void OverloadModel::Receive(WorkKind kind, std::function<void()> perform,
-                            bool is_copy) {
-  if (!is_copy) {
-    Current().m_offered_s +=
-        std::chrono::duration<double>(CostOf(kind, CurrentLoad())).count() /
-        m_pattern.m_processor_share;
-  }
-  m_inbox.push_back({kind, std::move(perform), m_now});
+void OverloadModel::Receive(Work work, Duration patience) {
+  CountOffered(work);
+  const WorkClass work_class = ClassOf(work.m_kind);
+  m_inbox.Push(work_class, std::move(work), m_now, patience);
   ServeNext();
 }
 
+void OverloadModel::ReceiveLocal(Work work) {
+  CountOffered(work);
+  m_local.emplace_back(m_now, std::move(work));
+  ServeNext();
+}
+
+void OverloadModel::CountOffered(const Work& work) {
+  Current().m_offered_s +=
+      std::chrono::duration<double>(CostOf(work.m_kind, CurrentLoad(work)))
+          .count() /
+      m_pattern.m_processor_share;
+}
+
 void OverloadModel::ServeNext() {
-  if (m_is_busy || m_inbox.empty()) {
+  if (m_is_busy) {
     return;
   }
+  if (!m_local.empty()) {
+    const auto [arrived, work] = std::move(m_local.front());
+    m_local.pop_front();
+    Serve(work, m_now - arrived, WorkState::kDue);
+  } else if (const auto popped = m_inbox.Pop(m_now)) {
+    Serve(popped->m_item, popped->m_waited, popped->m_state);
+  }
+}
+
+void OverloadModel::Serve(const Work& work, Duration waited, WorkState state) {
   m_is_busy = true;
-  const Work work = std::move(m_inbox.front());
-  m_inbox.pop_front();
-  ProcessorLoad load = CurrentLoad();
-  const bool is_plan_due = work.m_kind == WorkKind::kSynced ||
-                           m_now >= m_last_plan + kMaxPlanInterval;
+  WorkKind kind = work.m_kind;
+  if (state == WorkState::kOverdue) {
+    kind = WorkKind::kDropped;
+  } else if (state == WorkState::kTooOld) {
+    kind = WorkKind::kRefused;
+  }
+  ProcessorLoad load = CurrentLoad(work);
+  const bool is_plan_due =
+      kind == WorkKind::kSynced || m_now >= m_last_plan + kMaxPlanInterval;
   load.m_plans = is_plan_due && m_now >= m_last_plan + kMinPlanInterval;
   if (load.m_plans) {
     m_last_plan = m_now;
   }
-  m_span = std::chrono::duration_cast<Duration>(CostOf(work.m_kind, load) /
+  m_span = std::chrono::duration_cast<Duration>(CostOf(kind, load) /
                                                 m_pattern.m_processor_share);
-  Current().m_max_wait = std::max(Current().m_max_wait, m_now - work.m_arrived);
+  Current().m_max_wait = std::max(Current().m_max_wait, waited);
   Current().m_busy_s += std::chrono::duration<double>(m_span).count();
   const Duration begun = Meter() == nullptr ? Duration::zero() : ThreadTime();
-  work.m_perform();
+  if (state == WorkState::kDue) {
+    work.m_perform();
+  } else if (state == WorkState::kTooOld) {
+    Refuse(work.m_call);
+  } else {
+    ++m_result.m_dropped_calls;
+  }
   TakeActions();
   if (Meter() != nullptr) {
-    Meter()->Add(work.m_kind, load, ThreadTime() - begun);
+    Meter()->Add(kind, load, ThreadTime() - begun);
   }
   Schedule(m_span, [this] {
     m_is_busy = false;
@@ -395,9 +455,19 @@
   });
 }
 
+// A submit that waited too long: it is not decoded, and the core is not asked.
+void OverloadModel::Refuse(std::uint64_t call) {
+  wire::CallReplyT reply;
+  reply.id = call;
+  reply.outcome = wire::CallOutcome::Refused;
+  EncodeFrame(reply);
+  Schedule(m_span + kNetworkDelay, [this, reply] { OnReply(reply); });
+}
+
 void OverloadModel::ScheduleTick() {
-  Schedule(kTickInterval,
-           [this] { Receive(WorkKind::kTick, [this] { Tick(); }); });
+  Schedule(kTickInterval, [this] {
+    ReceiveLocal({WorkKind::kTick, [this] { Tick(); }});
+  });
 }
 
 void OverloadModel::Tick() {
@@ -439,11 +509,11 @@
   const Duration time = stalls ? stall_start + m_pattern.m_stall_length - m_now
                                : m_pattern.m_sync_time;
   Schedule(m_span + time, [this] {
-    Receive(WorkKind::kSynced, [this] {
-      m_disk.Sync(*m_batch);
-      m_batch.reset();
-      m_core->BatchSynced(VirtualMoment());
-    });
+    ReceiveLocal({WorkKind::kSynced, [this] {
+                    m_disk.Sync(*m_batch);
+                    m_batch.reset();
+                    m_core->BatchSynced(VirtualMoment());
+                  }});
   });
   m_batch_bytes = 0;
   for (const auto& entry : m_batch->m_batch.entries) {
@@ -529,9 +599,9 @@
                                const runs::RunnerAnswer& answer) {
   if (open.m_relay.empty()) {
     Schedule(kNetworkDelay, [this, open, answer] {
-      Receive(WorkKind::kAnswer, [this, open, answer] {
-        m_core->OnRunnerAnswer(open.m_call, answer, VirtualMoment());
-      });
+      Receive({WorkKind::kAnswer, [this, open, answer] {
+                 m_core->OnRunnerAnswer(open.m_call, answer, VirtualMoment());
+               }});
     });
     return;
   }
@@ -541,8 +611,8 @@
   answers.answers.back()->id = open.m_id;
   Schedule(kNetworkDelay * 2, [this, relay = open.m_relay,
                                bytes = EncodeFrame(std::move(answers))] {
-    Receive(WorkKind::kAnswer,
-            [this, relay, bytes] { OnRelayedAnswers(relay, bytes); });
+    Receive({WorkKind::kAnswer,
+             [this, relay, bytes] { OnRelayedAnswers(relay, bytes); }});
   });
 }
 
@@ -559,10 +629,10 @@
 
 void OverloadModel::SendViews() {
   for (const char* relay : kRelays) {
-    Receive(WorkKind::kView, [this, relay, clock_ms = ClockMs()] {
-      m_relays.OnFrame(relay, m_now);
-      m_relays.OnClock(relay, clock_ms, m_now);
-    });
+    Receive({WorkKind::kView, [this, relay, clock_ms = ClockMs()] {
+               m_relays.OnFrame(relay, m_now);
+               m_relays.OnClock(relay, clock_ms, m_now);
+             }});
   }
   Schedule(kViewInterval, [this] { SendViews(); });
 }
--- a/tests/overload_model.h
+++ b/tests/overload_model.h
@@ -1,6 +1,6 @@
 // One member with the real work core and relay table in virtual time, whose
-// processor is limited: each piece of work takes time while the rest waits.
-// Runners always answer; callers repeat calls that are not answered.
+// processor is limited: each piece of work takes time while the rest waits in
+// the inbox. Runners always answer.
 #ifndef BRONZEBARROW_TESTS_OVERLOAD_MODEL_H_
 #define BRONZEBARROW_TESTS_OVERLOAD_MODEL_H_
 
@@ -13,10 +13,12 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bronzebarrow/node/relay_table.h"
 #include "bronzebarrow/node/work_core.h"
+#include "bronzebarrow/node/work_inbox.h"
 #include "fake_group.h"
 #include "fake_runner.h"
 #include "processor_costs.h"
@@ -62,8 +64,7 @@
   std::size_t m_answered = 0;  // Within the caller's patience.
   double m_length_s = 0;
   double m_busy_s = 0;  // Virtual time for which the processor worked.
-  // Virtual time that the work that arrived takes, but for calls sent again and
-  // plans.
+  // Virtual time that the work that arrived takes, but for plans.
   double m_offered_s = 0;
   Duration m_max_wait = Duration::zero();  // Of work in the inbox.
 };
@@ -75,8 +76,8 @@
   // or the owner stops them.
   std::size_t m_unfinished_runs = 0;
   std::size_t m_doubled_runs = 0;
-  std::size_t m_unended_jobs = 0;  // Accepted and still active at the end.
-  std::size_t m_copies = 0;        // Calls sent again.
+  std::size_t m_unended_jobs = 0;   // Accepted and still active at the end.
+  std::size_t m_dropped_calls = 0;  // Their callers had left.
 
   const PhaseResult& At(Phase phase) const {
     return m_phases[static_cast<std::size_t>(phase)];
@@ -93,17 +94,20 @@
 
  private:
   struct Work {
+    Work() = default;
+    Work(WorkKind kind, std::function<void()> perform)
+        : m_kind(kind), m_perform(std::move(perform)) {}
     WorkKind m_kind = WorkKind::kTick;
     std::function<void()> m_perform;
-    Instant m_arrived;
+    std::uint64_t m_call = 0;  // Of a caller; 0: none.
+    std::string m_path;        // That the call is routed by; empty: none.
   };
-  /** A call of a submitter or reader, with all its copies. */
+  /** A call of a submitter, a reader, a runner or an operator. */
   struct Caller {
     wire::CallT m_call;
     Phase m_phase = Phase::kWarmUp;
     Instant m_gives_up;
     bool m_is_counted = true;
-    bool m_is_sent = false;
   };
   struct Submission {
     Phase m_phase = Phase::kWarmUp;
@@ -134,12 +138,16 @@
   void SubmitJob();
   void Poll(jobs::JobId id);
   void StartCall(wire::CallBodyUnion body, bool is_counted);
-  void SendCopy(std::uint64_t id);
+  void Send(std::uint64_t id);
   void OnReply(const wire::CallReplyT& reply);
 
-  void Receive(WorkKind kind, std::function<void()> perform,
-               bool is_copy = false);
+  void Receive(Work work, Duration patience = WorkInbox<Work>::kUnlimited);
+  // Timers and ends of disk writes do not pass through the inbox.
+  void ReceiveLocal(Work work);
+  void CountOffered(const Work& work);
   void ServeNext();
+  void Serve(const Work& work, Duration waited, WorkState state);
+  void Refuse(std::uint64_t call);
   void Tick();
   void ScheduleTick();
   // Schedules what the core wants done, once the current work is finished.
@@ -156,7 +164,7 @@
                         const std::vector<std::uint8_t>& bytes);
   void SendViews();
   void OnStart(const FakeRunner& runner, const jobs::RunKey& run);
-  ProcessorLoad CurrentLoad() const;
+  ProcessorLoad CurrentLoad(const Work& work) const;
 
   void Schedule(Duration delay, std::function<void()> event);
   std::uint64_t ClockMs() const;
@@ -179,7 +187,8 @@
   std::map<std::string, FakeRunner> m_runners;
   std::multimap<std::string, OpenCall> m_holds;  // By runner.
   std::multimap<Instant, std::function<void()>> m_events;
-  std::deque<Work> m_inbox;
+  WorkInbox<Work> m_inbox;
+  std::deque<std::pair<Instant, Work>> m_local;
   bool m_is_busy = false;
   Duration m_span = Duration::zero();  // Of the work being done.
   Instant m_last_plan;
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -120,7 +120,9 @@
   static OverloadResult Play(OverloadPattern pattern) {
     if (const char* const runners = std::getenv("OVERLOAD_COSTS")) {
       pattern.m_runners = std::stoul(runners);
-      pattern.m_processor_share = 1;
+      pattern.m_processor_share *=
+          static_cast<double>(pattern.m_runners) /
+          static_cast<double>(OverloadPattern().m_runners);
     }
     OverloadResult result = OverloadModel(pattern).Run();
     if (std::getenv("OVERLOAD_TABLE") != nullptr) {
@@ -134,7 +136,7 @@
               << pattern.m_added_queues << ": lost " << result.m_lost_runs
               << " unfinished " << result.m_unfinished_runs << " doubled "
               << result.m_doubled_runs << " unended " << result.m_unended_jobs
-              << " copies " << result.m_copies << "\n";
+              << " dropped " << result.m_dropped_calls << "\n";
     for (std::size_t i = 0; i < kPhases; ++i) {
       const PhaseResult& phase = result.m_phases[i];
       std::cout << "  phase " << i << ": jobs " << phase.m_jobs << " on_time "
--- a/tests/processor_costs.cc
+++ b/tests/processor_costs.cc
@@ -12,18 +12,22 @@
 struct Cost {
   nanoseconds m_base{0};
   nanoseconds m_per_runner{0};
-  nanoseconds m_per_route{0};  // Each prefix of the host is looked at.
+  nanoseconds m_per_compared_prefix{0};
   nanoseconds m_per_batch_byte{0};
 };
 
 constexpr std::array<Cost, kWorkKinds> kCosts = {{
     {.m_base = nanoseconds(12'000), .m_per_runner = nanoseconds(155)},  // kTick
     {.m_base = nanoseconds(800)},                                       // kView
-    {.m_base = nanoseconds(6'500), .m_per_route = nanoseconds(20)},  // kSubmit
-    {.m_base = nanoseconds(4'500), .m_per_route = nanoseconds(18)},  // kRead
-    {.m_base = nanoseconds(5'000)},                                  // kReport
-    {.m_base = nanoseconds(2'100'000)},                              // kConfig
-    {.m_base = nanoseconds(6'000)},                                  // kAnswer
+    {.m_base = nanoseconds(6'500),
+     .m_per_compared_prefix = nanoseconds(20)},  // kSubmit
+    {.m_base = nanoseconds(4'500),
+     .m_per_compared_prefix = nanoseconds(18)},  // kRead
+    {.m_base = nanoseconds(5'000)},              // kReport
+    {.m_base = nanoseconds(2'100'000)},          // kConfig
+    {.m_base = nanoseconds(6'000)},              // kAnswer
+    {.m_base = nanoseconds(1'000)},              // kDropped
+    {.m_base = nanoseconds(3'000)},              // kRefused
     {.m_base = nanoseconds(20'000),
      .m_per_batch_byte = nanoseconds(30)},  // kSynced
 }};
@@ -35,7 +39,7 @@
 Duration CostOf(WorkKind kind, const ProcessorLoad& load) {
   const Cost& cost = kCosts[static_cast<std::size_t>(kind)];
   nanoseconds sum = cost.m_base + cost.m_per_runner * load.m_runners +
-                    cost.m_per_route * load.m_routes +
+                    cost.m_per_compared_prefix * load.m_compared_prefixes +
                     cost.m_per_batch_byte * load.m_batch_bytes;
   if (load.m_plans) {
     sum += kPlanPerRunner * load.m_runners +
--- a/tests/processor_costs.h
+++ b/tests/processor_costs.h
@@ -22,15 +22,19 @@
   kRead,
   kReport,
   kConfig,
-  kAnswer,  // Of a runner to a relayed call.
+  kAnswer,   // Of a runner to a relayed call.
+  kDropped,  // A call whose caller has left.
+  kRefused,  // A submit that waited too long.
   kSynced,  // A batch is on disk: its commands are applied, and a plan is made.
 };
-constexpr std::size_t kWorkKinds = 8;
+constexpr std::size_t kWorkKinds = 10;
 
 /** The state that the cost of work depends on. */
 struct ProcessorLoad {
   std::size_t m_runners = 0;
   std::size_t m_routes = 0;  // Prefixes of the host that calls name.
+  // With which QueueTable::Route compares the path of the call.
+  std::size_t m_compared_prefixes = 0;
   std::size_t m_active_jobs = 0;
   std::size_t m_batch_bytes = 0;  // Of the batch that was synced.
   bool m_plans = false;           // The work includes a plan.
@@ -67,8 +71,8 @@
 template <>
 struct bronzebarrow::EnumNames<bronzebarrow::node::WorkKind> {
   static constexpr std::array<std::string_view, bronzebarrow::node::kWorkKinds>
-      kNames = {"tick",   "view",   "submit", "read",
-                "report", "config", "answer", "synced"};
+      kNames = {"tick",   "view",   "submit",  "read",    "report",
+                "config", "answer", "dropped", "refused", "synced"};
 };
 
 #endif  // BRONZEBARROW_TESTS_PROCESSOR_COSTS_H_
