Close no connection as silent when the probe itself is late

A probe that is late by more than its interval leaves the connections as they are; by the next one the waiting frames are read. A peer that is really silent is found one probe later. LateProbeClosesNoConnection blocks the loop for 2 s and expects one copy of a call.

--- a/include/bronzebarrow/node/leader_link.h
+++ b/include/bronzebarrow/node/leader_link.h
@@ -108,6 +108,7 @@
   std::uint64_t m_next_id = 1;
   Instant m_latest_deadline = Instant::max();
   boost::asio::steady_timer m_probe_timer;
+  Instant m_probe_due;
   bool m_stopped = false;
 };
 
--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -83,6 +83,7 @@
 }
 
 void LeaderLink::ScheduleProbe() {
+  m_probe_due = Now() + kProbeInterval;
   m_probe_timer.expires_after(kProbeInterval);
   m_probe_timer.async_wait([this](const boost::system::error_code& error) {
     if (error || m_stopped) {
@@ -98,8 +99,10 @@
   frame.sender = m_own_name;
   frame.body.Set(wire::ViewRequestT());
   const Instant now = Now();
+  // Frames that arrived while this process was late are read after this probe.
+  const bool is_late = now > m_probe_due + kProbeInterval;
   for (auto& [peer, last_received] : m_last_received) {
-    if (now > last_received + kReceiveTimeout) {
+    if (!is_late && now > last_received + kReceiveTimeout) {
       m_peers.CloseConnection(peer);
       last_received = now;
     }
--- a/tests/leader_link_test.cc
+++ b/tests/leader_link_test.cc
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "fake_member.h"
 
@@ -33,6 +34,7 @@
   CPPUNIT_TEST(SilentConnectionIsReplaced);
   CPPUNIT_TEST(CallSaysHowLongItsCallerWaits);
   CPPUNIT_TEST(EndedCallsAreTruthful);
+  CPPUNIT_TEST(LateProbeClosesNoConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -169,6 +171,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
   }
 
+  // Guards against a process that was late itself and takes its peers, whose
+  // frames it has not read, for silent.
+  void LateProbeClosesNoConnection() {
+    const auto outcome = StartCall(Millis(8000));
+    RunUntil([&] { return m_member->m_calls == 1; });
+    std::this_thread::sleep_for(Millis(2000));
+    m_io->run_for(Millis(1000));
+    CPPUNIT_ASSERT_EQUAL(1, m_member->m_calls);
+    m_member->ReplyToLastCall(wire::CallOutcome::Accepted);
+    RunUntil([&] { return outcome->has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("Accepted"), outcome->value());
+  }
+
   // The leader compares no clocks: each attempt carries what is left.
   void CallSaysHowLongItsCallerWaits() {
     const auto outcome = StartCall(Millis(2000));
