Ask a runner after its lease has expired before its runs are lost

Only a failed call that was sent after the expiry shows silence now.

Found by the same review: a call that its relay was not permitted to send went to the same relay again at each tick (the owner calls directly next, and then waits); a batch for a member without a connection waited for a timeout (called directly at once); calls of closed connections, which their callers send again, were still served; and lateness of a few milliseconds a tick added up in RelayTable, so that a dead relay kept its runners (only a tick later than 400 ms counts).

Dispatcher::Tick looked at each run of each runner every 25 ms; each link now carries the time before which a tick has nothing to do for it, which each change clears.

--- a/include/bronzebarrow/net/frame_connection.h
+++ b/include/bronzebarrow/net/frame_connection.h
@@ -53,6 +53,8 @@
   /** Frames that are sent while others are being written leave together. */
   void Send(const wire::FrameT& frame);
   void Close();
+  /** For callers on the connection's executor. */
+  bool is_closed() const { return m_closed; }
 
  private:
   boost::asio::awaitable<void> ReadLoop();
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -175,6 +175,8 @@
   // list shows what became of its runs.
   bool MayHaveLapsed(const RunnerLink& link, Instant now) const;
   Instant NextHold(const RunnerLink& link) const;
+  // The earliest time at which TickLink has something to do if nothing changes.
+  Instant NextTick(const RunnerLink& link) const;
   RunnerCall MakeCall(CallKind kind, const std::string& runner,
                       RunnerLink& link, Instant now) const;
   void SendStart(const std::string& runner, RunnerLink& link,
--- a/include/bronzebarrow/runs/runner_link.h
+++ b/include/bronzebarrow/runs/runner_link.h
@@ -106,12 +106,17 @@
   bool m_ends_proposed = false;  // Reported ends are proposed, not yet applied.
   Instant m_next_hold;
   Instant m_last_hold;  // When the last one was sent.
+  // A tick has nothing to do for it before this time. Unset after each change,
+  // so that the next tick computes it anew.
+  Instant m_tick_due;
   Instant m_last_answer;
   // When the first call since the last answer failed; unset if none has.
   Instant m_silent_since;
-  // A call sent since the last answer has failed, or another incarnation has
-  // answered it.
-  bool m_has_ignored_call = false;
+  // When the latest call was sent that failed, or that another incarnation
+  // answered, since the last answer; unset if there is none.
+  Instant m_ignored_call_sent;
+  // The last call was not sent by the member that relays its calls.
+  bool m_bypasses_relay = false;
   // When its process was last known to run: its last run list, or the time at
   // which a hold that it kept open broke.
   Instant m_alive_until;
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -22,6 +22,9 @@
 namespace asio = boost::asio;
 
 constexpr Duration kTickInterval = Millis(25);
+// A tick that is later than this shows that frames of other members, which send
+// one each 400 ms, were not read meanwhile.
+constexpr Duration kMinUnattended = Millis(400);
 constexpr Duration kLoadLogInterval = Millis(1000);
 // Time allowed for a runner's response beyond the wait that the call asks for:
 // two trips between zones, the runner's processing and a margin for delays.
@@ -246,7 +249,9 @@
 void MemberNode::RecordTick() {
   const Instant now = Now();
   const Duration lateness = std::max(now - m_tick_due, Duration::zero());
-  m_relays.OnUnattended(lateness, now);
+  if (lateness >= kMinUnattended) {
+    m_relays.OnUnattended(lateness, now);
+  }
   m_metrics.Observe("bronzebarrow_tick_late_seconds", "",
                     std::chrono::duration<double>(lateness).count());
   m_load.m_max_lateness = std::max(m_load.m_max_lateness, lateness);
@@ -350,7 +355,11 @@
   const std::string& label = ClassLabel(popped.m_class);
   m_metrics.Observe("bronzebarrow_inbox_seconds", label,
                     std::chrono::duration<double>(popped.m_waited).count());
-  if (popped.m_state == WorkState::kOverdue) {
+  // The sender has sent its calls again on another connection.
+  const bool is_abandoned = popped.m_class != WorkClass::kConsensus &&
+                            popped.m_item.m_connection != nullptr &&
+                            popped.m_item.m_connection->is_closed();
+  if (popped.m_state == WorkState::kOverdue || is_abandoned) {
     m_metrics.Count("bronzebarrow_calls_dropped_total", label);
     return;
   }
@@ -711,7 +720,8 @@
     const runs::RunnerLink* const link =
         m_core->dispatcher().FindLink(call.m_runner);
     const std::string member =
-        link == nullptr || link->m_consecutive_timeouts > 0
+        link == nullptr || link->m_consecutive_timeouts > 0 ||
+                link->m_bypasses_relay
             ? ""
             : m_relays.ChooseMember(call.m_runner, runners, now);
     if (member.empty()) {
@@ -728,7 +738,15 @@
     wire::FrameT frame;
     frame.sender = m_settings.m_name;
     frame.body.Set(std::move(batch));
-    m_leader_link.Send(member, frame);
+    if (m_leader_link.Send(member, frame)) {
+      continue;
+    }
+    for (const auto& relayed : frame.body.AsRelayedCalls()->calls) {
+      if (auto call = m_relays.Take(member, relayed->id)) {
+        asio::co_spawn(m_executor, SendRunnerCall(std::move(*call)),
+                       asio::detached);
+      }
+    }
   }
 }
 
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -61,6 +61,15 @@
   return end;
 }
 
+// Whether a start or stop is to be sent once m_next_attempt is reached.
+bool NeedsCall(const TrackedRun& run) {
+  if (run.m_call_in_flight || run.m_state == TrackedRunState::kEndProposed) {
+    return false;
+  }
+  return run.m_stop_requested ? !run.m_stop_confirmed
+                              : run.m_state == TrackedRunState::kStarting;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(const jobs::WorkState& state, DispatcherOptions options)
@@ -195,6 +204,21 @@
              : link.m_next_hold;
 }
 
+Instant Dispatcher::NextTick(const RunnerLink& link) const {
+  const bool may_end = link.m_silent_since != Instant() || link.m_is_leaving ||
+                       link.m_ignored_call_sent != Instant();
+  if (may_end) {
+    return Instant();
+  }
+  Instant next = link.m_hold_in_flight ? Instant::max() : NextHold(link);
+  for (const auto& [task, tracked] : link.m_tracked_runs) {
+    if (NeedsCall(tracked)) {
+      next = std::min(next, tracked.m_next_attempt);
+    }
+  }
+  return next;
+}
+
 RunnerCall Dispatcher::MakeCall(CallKind kind, const std::string& runner,
                                 RunnerLink& link, Instant now) const {
   RunnerCall call;
@@ -306,6 +330,7 @@
       tracked->second.m_state == TrackedRunState::kEndProposed) {
     return;
   }
+  link->second.m_tick_due = Instant();
   tracked->second.m_stop_requested = true;
   tracked->second.m_next_attempt = now + m_options.m_retry_delay * 2;
   tracked->second.m_call_in_flight = true;
@@ -365,6 +390,7 @@
   const auto found = m_links.find(applied.m_runner);
   if (found != m_links.end()) {
     RunnerLink& link = found->second;
+    link.m_tick_due = Instant();
     if (applied.m_kind == wire::WorkBody::EndRuns) {
       link.m_ends_proposed = false;
       link.m_next_hold = std::min(link.m_next_hold, now);
@@ -413,8 +439,9 @@
     return;
   }
   for (auto& [runner, link] : m_links) {
-    if (!link.m_removal_proposed) {
+    if (!link.m_removal_proposed && now >= link.m_tick_due) {
       TickLink(runner, link, now);
+      link.m_tick_due = NextTick(link);
     }
   }
 }
@@ -455,6 +482,7 @@
     return;
   }
   RunnerLink& link = found->second;
+  link.m_tick_due = Instant();
   if (!link.m_is_leaving) {
     link.m_is_leaving = true;
     EventLine(Event::kRunnerLeaving)
@@ -509,11 +537,13 @@
   if (!link.m_hold_in_flight && now >= NextHold(link)) {
     SendHold(runner, link, now);
   }
-  // An owner that was late itself may not have asked the runner.
-  const bool unresponsive = link.m_has_ignored_call &&
+  // Only a call that was sent after the expiry shows that the runner is silent:
+  // an owner that was late itself may not have read the answer to an earlier
+  // one, or not have asked.
+  const bool unresponsive = link.m_ignored_call_sent >= LeaseExpiry(link) &&
                             now - link.m_last_answer >
                                 m_options.m_hold_wait + m_options.m_retry_delay;
-  if (unresponsive && !link.m_leases_expired && now >= LeaseExpiry(link)) {
+  if (unresponsive && !link.m_leases_expired) {
     link.m_leases_expired = true;
     std::vector<jobs::RunKey> runs;
     for (const auto& [task, tracked] : link.m_tracked_runs) {
@@ -526,17 +556,14 @@
     ProposeLostRuns(runner, link, runs, "lapsed");
   }
   for (auto& [task, tracked] : link.m_tracked_runs) {
-    if (tracked.m_call_in_flight || now < tracked.m_next_attempt ||
-        tracked.m_state == TrackedRunState::kEndProposed) {
+    if (!NeedsCall(tracked) || now < tracked.m_next_attempt) {
       continue;
     }
     if (tracked.m_stop_requested) {
-      if (!tracked.m_stop_confirmed) {
-        tracked.m_call_in_flight = true;
-        tracked.m_next_attempt = now + m_options.m_retry_delay * 2;
-        SendStop(runner, link, {task, tracked.m_run}, now);
-      }
-    } else if (tracked.m_state == TrackedRunState::kStarting) {
+      tracked.m_call_in_flight = true;
+      tracked.m_next_attempt = now + m_options.m_retry_delay * 2;
+      SendStop(runner, link, {task, tracked.m_run}, now);
+    } else {
       SendStart(runner, link, task, tracked, now);
     }
   }
@@ -577,13 +604,16 @@
     return;
   }
   RunnerLink& link = found->second;
+  link.m_tick_due = Instant();
   if (answer.m_kind == AnswerKind::kNotSent) {
     OnNotSent(call, link, now);
     return;
   }
   // Unless the incarnation itself answers.
-  link.m_has_ignored_call =
-      link.m_has_ignored_call || call.m_sent >= link.m_last_answer;
+  if (call.m_sent >= link.m_last_answer) {
+    link.m_ignored_call_sent = std::max(link.m_ignored_call_sent, call.m_sent);
+  }
+  link.m_bypasses_relay = false;
   const bool is_at_earlier_address =
       answer.m_kind == AnswerKind::kOtherIncarnation &&
       call.m_address != link.m_address;
@@ -600,7 +630,7 @@
   } else {
     link.m_consecutive_timeouts = 0;
     link.m_silent_since = Instant();
-    link.m_has_ignored_call = false;
+    link.m_ignored_call_sent = Instant();
     link.m_last_answer = now;
     // Other answers do not name the incarnation.
     if (call.m_kind == CallKind::kHold) {
@@ -616,9 +646,13 @@
 
 void Dispatcher::OnNotSent(const RunnerCall& call, RunnerLink& link,
                            Instant now) {
+  // The next attempt is the owner's own. If it may not send either, it waits.
+  const Instant next_attempt =
+      link.m_bypasses_relay ? now + m_options.m_retry_delay : now;
+  link.m_bypasses_relay = true;
   if (call.m_kind == CallKind::kHold) {
     link.m_hold_in_flight = false;
-    link.m_next_hold = now;
+    link.m_next_hold = next_attempt;
     link.m_last_hold = Instant();
     return;
   }
@@ -627,7 +661,7 @@
     return;
   }
   tracked->m_call_in_flight = false;
-  tracked->m_next_attempt = now;
+  tracked->m_next_attempt = next_attempt;
   if (call.m_kind == CallKind::kStart) {
     --tracked->m_attempts;
   }
--- a/src/runs/dispatcher_crashes.cc
+++ b/src/runs/dispatcher_crashes.cc
@@ -172,6 +172,7 @@
     return true;
   }
   RunnerLink& link = found->second;
+  link.m_tick_due = Instant();
   link.MarkSuperseded(now);
   // If the machine's clock has gone back, a delayed report of an earlier
   // incarnation names a later start.
