Do not read a replica's own lateness as the silence of others

What callers saw: a member that was short of processor time started an election, gave up its leadership, removed members or sent join requests at its first tick, while the messages of the others waited to be read.

Cause: the election deadline, the contact with the quorum, the removal of unresponsive members and the silence of the leader towards a learner were judged by wall time, also by time in which this process was not run.

Change: the member reports how late its tick is (as to RelayTable), and Replica::OnUnattended postpones these conclusions by that span. One report leaves at most one election timeout after now to what was due by now, and postpones what was not due yet by at most one. A new member, m_leader_silent_at, holds the time at which a learner takes itself to be outside the group, because votes are refused by m_last_leader_contact.

Ruled out: a longer election timeout, which delays every real election, and moving m_last_leader_contact, which would refuse votes for longer.

Why it works: the span is the time in which messages could not be read; what is left of each deadline after it is the same as before it, up to the bound. Confirmed rounds, their times, the lease and OnVoteRequest are unchanged. A late leader may keep its role, but not its lease, for longer; in its role it ignores vote requests as before.

Tests: with an empty OnUnattended, LateFollowerStartsNoElection, LateLeaderKeepsItsRole, LateLeaderRemovesNobody, LateLearnerSendsNoJoinRequests and ReportPostponesElectionByAtMostOneTimeout fail. ReportExtendsNoPermission passes with it and fails when m_last_leader_contact is moved as well.

--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -75,6 +75,14 @@
 
   void Tick(Instant now);
   void Receive(const ReplicaId& from, const wire::BodyUnion& body, Instant now);
+  /**
+   * This process did not run for `span` up to now, so messages that arrived
+   * meanwhile may not have been received: postpones the election and the
+   * silence of other members by `span`, but to at most one election timeout
+   * after now if they were due by now, and by at most one if not. Confirmed
+   * rounds and the grounds on which votes are refused are not extended.
+   */
+  void OnUnattended(Duration span, Instant now);
 
   /**
    * Appends a command to the log.
@@ -150,7 +158,8 @@
     std::uint64_t m_match_index = 0;  // The logs are equal up to here.
     std::uint64_t m_acked_round = 0;  // Newest acknowledged round.
     // Time of the last reply in this term. Initially the time of the election
-    // or, for a member added later, of the next heartbeat.
+    // or, for a member added later, of the next heartbeat. OnUnattended moves
+    // it forward.
     Instant m_last_reply_at;
     // When a snapshot was sent; empty once an append or snapshot succeeded.
     std::optional<Instant> m_snapshot_sent_at;
@@ -177,6 +186,7 @@
   void BecomeLeader(Instant now);
   void CheckQuorumContact(Instant now);
   void ResetElectionDeadline(Instant now);
+  Instant Postponed(Instant due, Duration span, Instant now) const;
   void OnTransferLead(const ReplicaId& from, std::uint64_t term, Instant now);
   void RemoveUnresponsiveMember(Instant now);
   bool IsOutsideGroup(Instant now) const;
@@ -227,6 +237,9 @@
   std::optional<ReplicaId> m_leader;
   Instant m_election_deadline;
   Instant m_last_leader_contact;  // Last message from a leader.
+  // When a learner takes itself to be outside the group. Kept apart from
+  // m_last_leader_contact, on which votes are refused.
+  Instant m_leader_silent_at;
   bool m_had_leader_contact = false;
   // Replicas that granted the vote or pre-vote of the current election.
   std::set<ReplicaId> m_votes_received;
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -68,6 +68,8 @@
 
   // Events. Each one passes the time at which it is handled.
   void Tick(Moment moment);
+  /** As Replica::OnUnattended. */
+  void OnUnattended(Duration span, Moment moment);
   void OnPeerMessage(const consensus::ReplicaId& from,
                      const wire::BodyUnion& body, Moment moment);
   void BatchSynced(Moment moment);
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -22,6 +22,7 @@
     : m_options(std::move(options)),
       m_random(m_options.m_seed),
       m_term(durable.m_hard_state.term),
+      m_leader_silent_at(m_last_leader_contact + ContactTimeout()),
       m_log(std::move(durable.m_entries)),
       m_base_index(durable.m_base_index),
       m_base_term(durable.m_base_term),
@@ -79,8 +80,24 @@
 // never committed.
 bool Replica::IsOutsideGroup(Instant now) const {
   return !membership().Contains(id()) ||
-         (role() == Role::kLearner &&
-          now > m_last_leader_contact + ContactTimeout());
+         (role() == Role::kLearner && now > m_leader_silent_at);
+}
+
+void Replica::OnUnattended(Duration span, Instant now) {
+  m_election_deadline = Postponed(m_election_deadline, span, now);
+  m_leader_silent_at = Postponed(m_leader_silent_at, span, now);
+  for (auto& [peer, progress] : m_progress) {
+    Instant& last_reply_at = progress.m_last_reply_at;
+    const Instant silent_at =
+        Postponed(last_reply_at + ContactTimeout(), span, now);
+    last_reply_at =
+        std::max(last_reply_at, std::min(silent_at - ContactTimeout(), now));
+  }
+}
+
+Instant Replica::Postponed(Instant due, Duration span, Instant now) const {
+  return std::min(due + span,
+                  std::max(due, now) + m_options.m_election_timeout);
 }
 
 void Replica::Receive(const ReplicaId& from, const wire::BodyUnion& body,
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -26,6 +26,7 @@
   m_role.Process(RoleEvent::kSteppedDown);
   m_leader = leader;
   m_last_leader_contact = now;
+  m_leader_silent_at = now + ContactTimeout();
   m_had_leader_contact = true;
   ResetElectionDeadline(now);
 }
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -247,6 +247,7 @@
   const Instant now = Now();
   const Duration lateness = std::max(now - m_tick_due, Duration::zero());
   m_relays.OnUnattended(lateness, now);
+  m_core->OnUnattended(lateness, CurrentMoment());
   m_metrics.Observe("bronzebarrow_tick_late_seconds", "",
                     std::chrono::duration<double>(lateness).count());
   m_load.m_max_lateness = std::max(m_load.m_max_lateness, lateness);
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -41,6 +41,10 @@
   ApplyCommitted();
 }
 
+void WorkCore::OnUnattended(Duration span, Moment moment) {
+  m_replica.OnUnattended(span, moment.m_now);
+}
+
 void WorkCore::Tick(Moment moment) {
   m_moment = moment;
   m_replica.Tick(moment.m_now);
--- a/tests/fake_group.cc
+++ b/tests/fake_group.cc
@@ -85,6 +85,7 @@
       options.m_peers.push_back(other.m_name);
     }
   }
+  node.m_last_tick = m_now;
   node.m_applied = ChainState();
   node.m_replica =
       std::make_unique<Replica>(std::move(options), node.m_disk.m_state, m_now);
@@ -141,6 +142,9 @@
   const Instant end = m_now + span;
   while (m_now < end) {
     m_now += kTickInterval;
+    if (m_reports_unattended) {
+      ReportUnattended();
+    }
     for (auto it = m_in_transit.begin();
          it != m_in_transit.end() && it->first <= m_now;) {
       Node& node = m_nodes[it->second.m_to];
@@ -168,11 +172,21 @@
         node.m_replica->BatchSynced(m_now);
       }
       node.m_replica->Tick(m_now);
+      node.m_last_tick = m_now;
       ProcessOutput(i);
     }
   }
 }
 
+void FakeGroup::ReportUnattended() {
+  for (Node& node : m_nodes) {
+    if (node.m_replica && !node.m_suspended) {
+      node.m_replica->OnUnattended(m_now - node.m_last_tick - kTickInterval,
+                                   m_now);
+    }
+  }
+}
+
 void FakeGroup::ProcessOutput(std::size_t index) {
   Node& node = m_nodes[index];
   for (const Outgoing& message : node.m_replica->TakeMessages(m_now)) {
--- a/tests/fake_group.h
+++ b/tests/fake_group.h
@@ -72,6 +72,8 @@
   /** Crashes a node and erases its disk; it restarts as a new generation. */
   void LoseDisk(std::size_t node);
   void SetSuspended(std::size_t node, bool suspended);
+  /** Whether a node that was suspended reports the span to its replica. */
+  void SetReportsUnattended(bool reports) { m_reports_unattended = reports; }
   /** Takes the link from `from` to `to` (one direction) down, or up again. */
   void SetLinkDown(std::size_t from, std::size_t to, bool down);
   /** Restores all links, resumes all nodes and restarts crashed ones. */
@@ -112,6 +114,7 @@
     std::optional<std::pair<Instant, DurableBatchOut>> m_sync;
     ChainState m_applied;
     bool m_suspended = false;
+    Instant m_last_tick;
   };
   struct InTransit {
     std::size_t m_from;
@@ -122,6 +125,7 @@
   };
 
   void Start(Node& node);
+  void ReportUnattended();
   void ProcessOutput(std::size_t index);
   void Transmit(std::size_t from, const Outgoing& message);
   void Apply(Node& node);
@@ -142,6 +146,7 @@
   // Chained hash by committed index, equal on every node.
   std::map<std::uint64_t, std::uint64_t> m_hash_by_index;
   std::uint64_t m_next_payload = 1;
+  bool m_reports_unattended = false;
   std::string m_violation;
 };
 
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -8,7 +8,9 @@
 namespace bronzebarrow::consensus {
 namespace {
 
+const Duration kElectionTimeout = ReplicaOptions().m_election_timeout;
 constexpr std::uint64_t kSeeds = 4000;
+constexpr std::uint64_t kSeedsWithReports = 1000;
 
 class ReplicaTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReplicaTest);
@@ -19,7 +21,14 @@
   CPPUNIT_TEST(SingleReplicaCommitsAlone);
   CPPUNIT_TEST(LaggingReplicaCatchesUpBySnapshot);
   CPPUNIT_TEST(PartitionedReplicaDoesNotDeposeLeader);
+  CPPUNIT_TEST(LateFollowerStartsNoElection);
+  CPPUNIT_TEST(LateLeaderKeepsItsRole);
+  CPPUNIT_TEST(LateLeaderRemovesNobody);
+  CPPUNIT_TEST(LateLearnerSendsNoJoinRequests);
+  CPPUNIT_TEST(ReportPostponesElectionByAtMostOneTimeout);
+  CPPUNIT_TEST(ReportExtendsNoPermission);
   CPPUNIT_TEST(CommittedEntriesNeverChangeUnderFaults);
+  CPPUNIT_TEST(CommittedEntriesNeverChangeWithReports);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,13 +142,151 @@
     CPPUNIT_ASSERT(group.node(leader)->role() == Role::kLeader);
   }
 
+  // Guards against a follower that was not run itself, and takes the leader for
+  // lost before it has read the leader's messages.
+  void LateFollowerStartsNoElection() {
+    FakeGroup group(3, 8);
+    const std::size_t leader = ElectWithoutFaults(group);
+    const std::size_t late = (leader + 1) % 3;
+    const std::uint64_t term = group.node(leader)->term();
+    group.SetSuspended(late, true);
+    group.Run(2 * kElectionTimeout);
+    Replica* const follower = group.node(late);
+    follower->OnUnattended(2 * kElectionTimeout, group.now());
+    follower->Tick(group.now());
+    CPPUNIT_ASSERT(follower->role() == Role::kFollower);
+    CPPUNIT_ASSERT(follower->TakeMessages(group.now()).empty());
+    group.SetSuspended(late, false);
+    group.Run(Millis(3000));
+    CPPUNIT_ASSERT(group.node(leader)->role() == Role::kLeader);
+    CPPUNIT_ASSERT_EQUAL(term, follower->term());
+  }
+
+  // Guards against a leader that was not run itself, and gives up its role
+  // before it has read the replies.
+  void LateLeaderKeepsItsRole() {
+    FakeGroup group(3, 9);
+    const std::size_t leader = ElectWithoutFaults(group);
+    group.SetSuspended(leader, true);
+    group.Run(2 * kElectionTimeout);
+    Replica* const late = group.node(leader);
+    late->OnUnattended(2 * kElectionTimeout, group.now());
+    late->Tick(group.now());
+    CPPUNIT_ASSERT(late->role() == Role::kLeader);
+  }
+
+  // Guards against a late leader that has read the replies of a quorum, and
+  // removes members whose replies it has not read.
+  void LateLeaderRemovesNobody() {
+    ReplicaOptions options;
+    options.m_removes_unresponsive = true;
+    FakeGroup group(5, 0, 12, options);
+    const std::size_t leader = ElectWithoutFaults(group);
+    group.SetSuspended(leader, true);
+    group.Run(2 * kElectionTimeout);
+    Replica* const late = group.node(leader);
+    late->OnUnattended(2 * kElectionTimeout, group.now());
+    const std::uint64_t last_index = late->last_index();
+    for (const std::size_t read : {(leader + 1) % 5, (leader + 2) % 5}) {
+      wire::AppendReplyT reply;
+      reply.term = late->term();
+      reply.success = true;
+      reply.match_index = last_index;
+      wire::BodyUnion body;
+      body.Set(reply);
+      late->Receive(group.node(read)->id(), body, group.now());
+    }
+    late->Tick(group.now());
+    CPPUNIT_ASSERT(late->role() == Role::kLeader);
+    CPPUNIT_ASSERT_EQUAL(last_index, late->last_index());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, late->membership().VoterCount());
+    const Instant later = group.now() + kElectionTimeout;
+    late->Tick(later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, late->membership().VoterCount());
+  }
+
+  void LateLearnerSendsNoJoinRequests() {
+    const ReplicaId leader{"a", 1};
+    DurableState durable;
+    durable.m_base_membership = Membership({{leader, true}, {{"b", 1}, false}});
+    ReplicaOptions options;
+    options.m_id = {"b", 1};
+    options.m_peers = {"a"};
+    Instant now = Instant() + Millis(10000);
+    Replica learner(options, durable, now);
+    wire::BodyUnion append;
+    append.Set(wire::AppendRequestT());
+    learner.Receive(leader, append, now);
+    learner.TakeMessages(now);
+    now += 2 * kElectionTimeout + Millis(1);
+    learner.OnUnattended(2 * kElectionTimeout, now);
+    learner.Tick(now);
+    CPPUNIT_ASSERT(learner.TakeMessages(now).empty());
+    now += kElectionTimeout + Millis(1);
+    learner.Tick(now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, learner.TakeMessages(now).size());
+  }
+
+  // Guards against a group that stays without a leader after a real loss.
+  void ReportPostponesElectionByAtMostOneTimeout() {
+    FakeGroup group(3, 10);
+    const std::size_t leader = ElectWithoutFaults(group);
+    Replica* const follower = group.node((leader + 1) % 3);
+    const Instant resumed = group.now() + 20 * kElectionTimeout;
+    follower->OnUnattended(20 * kElectionTimeout, resumed);
+    follower->Tick(resumed);
+    CPPUNIT_ASSERT(follower->role() == Role::kFollower);
+    follower->Tick(resumed + kElectionTimeout);
+    CPPUNIT_ASSERT(follower->role() == Role::kPreCandidate);
+  }
+
+  // Guards against a late replica that serves, or refuses votes, for longer.
+  void ReportExtendsNoPermission() {
+    FakeGroup group(3, 11);
+    const std::size_t leader = ElectWithoutFaults(group);
+    const std::size_t late = (leader + 1) % 3;
+    const std::size_t candidate = (leader + 2) % 3;
+    const auto confirmed_at = group.node(leader)->confirmed_at();
+    const std::uint64_t confirmed = group.node(leader)->confirmed_round();
+    const Instant resumed = group.now() + kElectionTimeout;
+    group.node(leader)->OnUnattended(kElectionTimeout, resumed);
+    CPPUNIT_ASSERT(confirmed_at == group.node(leader)->confirmed_at());
+    CPPUNIT_ASSERT_EQUAL(confirmed, group.node(leader)->confirmed_round());
+    group.node(late)->OnUnattended(kElectionTimeout, resumed);
+    wire::VoteRequestT request;
+    request.term = group.node(late)->term() + 1;
+    request.pre_vote = true;
+    request.last_index = group.node(late)->last_index();
+    request.last_term = group.node(late)->term();
+    wire::BodyUnion body;
+    body.Set(std::move(request));
+    group.node(late)->Receive(group.node(candidate)->id(), body, resumed);
+    const auto replies = group.node(late)->TakeMessages(resumed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.size());
+    CPPUNIT_ASSERT(replies[0].m_body.AsVoteReply()->granted);
+  }
+
   void CommittedEntriesNeverChangeUnderFaults() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      RunSeed(seed);
+      RunSeed(seed, false);
+    }
+  }
+
+  void CommittedEntriesNeverChangeWithReports() {
+    for (std::uint64_t seed = 1; seed <= kSeedsWithReports; ++seed) {
+      RunSeed(seed, true);
     }
   }
 
  private:
+  static std::size_t ElectWithoutFaults(FakeGroup& group) {
+    group.faults() = {0, 0, Millis(5), Millis(5)};
+    CPPUNIT_ASSERT(group.RunUntil(
+        [&] { return group.ReadyLeader().has_value(); }, Millis(5000)));
+    group.Run(Millis(1000));
+    return group.ReadyLeader().value();
+  }
+
   static void SetPartitioned(FakeGroup& group, std::size_t node,
                              bool partitioned) {
     for (std::size_t other = 0; other < group.size(); ++other) {
@@ -185,8 +332,9 @@
     }
   }
 
-  static void RunSeed(std::uint64_t seed) {
+  static void RunSeed(std::uint64_t seed, bool reports_unattended) {
     FakeGroup group(seed % 4 == 0 ? 5 : 3, seed);
+    group.SetReportsUnattended(reports_unattended);
     bool disk_lost = false;
     for (int step = 0; step < 60; ++step) {
       group.Run(Millis(group.random()() % 150));
