--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -251,6 +251,7 @@
   const Duration lateness = std::max(now - m_tick_due, Duration::zero());
   if (lateness >= kMinUnattended) {
     m_relays.OnUnattended(lateness, now);
+    m_core->OnUnattended(lateness, CurrentMoment());
   }
   m_metrics.Observe("bronzebarrow_tick_late_seconds", "",
                     std::chrono::duration<double>(lateness).count());
