--- a/include/bronzebarrow/node/work_inbox.h
+++ b/include/bronzebarrow/node/work_inbox.h
@@ -31,7 +31,7 @@
 constexpr std::size_t kWorkClasses = 8;
 
 /** What is left to do for a piece of work that leaves the inbox. */
-enum class WorkState : std::uint8_t {
+enum class InboxState : std::uint8_t {
   kDue,
   kOverdue,  // Its caller no longer waits for it.
   kTooOld,   // A submit that waited so long that it is refused.
@@ -50,7 +50,7 @@
     WorkClass m_class = WorkClass::kConsensus;
     Item m_item;
     Duration m_waited = Duration::zero();
-    WorkState m_state = WorkState::kDue;
+    InboxState m_state = InboxState::kDue;
   };
 
   /** Patience of work that nobody waits for: it never becomes overdue. */
@@ -103,14 +103,14 @@
     return static_cast<std::size_t>(work_class);
   }
 
-  WorkState StateOf(WorkClass work_class, const Entry& entry,
-                    Instant now) const {
+  InboxState StateOf(WorkClass work_class, const Entry& entry,
+                     Instant now) const {
     if (now > entry.m_caller_leaves) {
-      return WorkState::kOverdue;
+      return InboxState::kOverdue;
     }
     const bool too_old = work_class == WorkClass::kSubmit &&
                          now - entry.m_arrived > m_options.m_max_submit_age;
-    return too_old ? WorkState::kTooOld : WorkState::kDue;
+    return too_old ? InboxState::kTooOld : InboxState::kDue;
   }
 
   // Requires that the inbox is not empty.
@@ -120,7 +120,7 @@
     const std::deque<Entry>& submits = m_queues[Index(WorkClass::kSubmit)];
     const bool refuses_next =
         !submits.empty() &&
-        StateOf(WorkClass::kSubmit, submits.front(), now) != WorkState::kDue;
+        StateOf(WorkClass::kSubmit, submits.front(), now) != InboxState::kDue;
     for (std::size_t i = 0; i < kWorkClasses; ++i) {
       if (refuses_next && i == Index(WorkClass::kReport)) {
         break;
@@ -148,7 +148,7 @@
 };
 
 template <>
-struct bronzebarrow::EnumNames<bronzebarrow::node::WorkState> {
+struct bronzebarrow::EnumNames<bronzebarrow::node::InboxState> {
   static constexpr std::array<std::string_view, 3> kNames = {"due", "overdue",
                                                              "too_old"};
 };
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -360,7 +360,7 @@
   const bool is_abandoned = popped.m_class != WorkClass::kConsensus &&
                             popped.m_item.m_connection != nullptr &&
                             popped.m_item.m_connection->is_closed();
-  if (popped.m_state == WorkState::kOverdue || is_abandoned) {
+  if (popped.m_state == InboxState::kOverdue || is_abandoned) {
     m_metrics.Count("bronzebarrow_calls_dropped_total", label);
     return;
   }
@@ -409,7 +409,7 @@
 
 void MemberNode::ServeCall(Inbox::Popped& popped) {
   const wire::Call& call = *popped.m_item.m_frame->table().body_as_Call();
-  if (popped.m_state == WorkState::kTooOld && m_core->CanServe(Now()) &&
+  if (popped.m_state == InboxState::kTooOld && m_core->CanServe(Now()) &&
       !MayBeKnown(call.body_as_SubmitCall())) {
     RefuseSubmit(popped, call);
     return;
--- a/tests/overload_model.cc
+++ b/tests/overload_model.cc
@@ -412,18 +412,18 @@
   if (!m_local.empty()) {
     const auto [arrived, work] = std::move(m_local.front());
     m_local.pop_front();
-    Serve(work, m_now - arrived, WorkState::kDue);
+    Serve(work, m_now - arrived, InboxState::kDue);
   } else if (const auto popped = m_inbox.Pop(m_now)) {
     Serve(popped->m_item, popped->m_waited, popped->m_state);
   }
 }
 
-void OverloadModel::Serve(const Work& work, Duration waited, WorkState state) {
+void OverloadModel::Serve(const Work& work, Duration waited, InboxState state) {
   m_is_busy = true;
   WorkKind kind = work.m_kind;
-  if (state == WorkState::kOverdue) {
+  if (state == InboxState::kOverdue) {
     kind = WorkKind::kDropped;
-  } else if (state == WorkState::kTooOld) {
+  } else if (state == InboxState::kTooOld) {
     kind = WorkKind::kRefused;
   }
   ProcessorLoad load = CurrentLoad(work);
@@ -438,9 +438,9 @@
   Current().m_max_wait = std::max(Current().m_max_wait, waited);
   Current().m_busy_s += std::chrono::duration<double>(m_span).count();
   const Duration begun = Meter() == nullptr ? Duration::zero() : ThreadTime();
-  if (state == WorkState::kDue) {
+  if (state == InboxState::kDue) {
     work.m_perform();
-  } else if (state == WorkState::kTooOld) {
+  } else if (state == InboxState::kTooOld) {
     Refuse(work.m_call);
   } else {
     ++m_result.m_dropped_calls;
--- a/tests/overload_model.h
+++ b/tests/overload_model.h
@@ -146,7 +146,7 @@
   void ReceiveLocal(Work work);
   void CountOffered(const Work& work);
   void ServeNext();
-  void Serve(const Work& work, Duration waited, WorkState state);
+  void Serve(const Work& work, Duration waited, InboxState state);
   void Refuse(std::uint64_t call);
   void Tick();
   void ScheduleTick();
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -8,7 +8,7 @@
 namespace bronzebarrow::consensus {
 namespace {
 
-const Duration kElectionTimeout = ReplicaOptions().m_election_timeout;
+Duration ElectionTimeout() { return ReplicaOptions().m_election_timeout; }
 constexpr std::uint64_t kSeeds = 4000;
 constexpr std::uint64_t kSeedsWithReports = 1000;
 
@@ -150,9 +150,9 @@
     const std::size_t late = (leader + 1) % 3;
     const std::uint64_t term = group.node(leader)->term();
     group.SetSuspended(late, true);
-    group.Run(2 * kElectionTimeout);
+    group.Run(2 * ElectionTimeout());
     Replica* const follower = group.node(late);
-    follower->OnUnattended(2 * kElectionTimeout, group.now());
+    follower->OnUnattended(2 * ElectionTimeout(), group.now());
     follower->Tick(group.now());
     CPPUNIT_ASSERT(follower->role() == Role::kFollower);
     CPPUNIT_ASSERT(follower->TakeMessages(group.now()).empty());
@@ -168,9 +168,9 @@
     FakeGroup group(3, 9);
     const std::size_t leader = ElectWithoutFaults(group);
     group.SetSuspended(leader, true);
-    group.Run(2 * kElectionTimeout);
+    group.Run(2 * ElectionTimeout());
     Replica* const late = group.node(leader);
-    late->OnUnattended(2 * kElectionTimeout, group.now());
+    late->OnUnattended(2 * ElectionTimeout(), group.now());
     late->Tick(group.now());
     CPPUNIT_ASSERT(late->role() == Role::kLeader);
   }
@@ -183,9 +183,9 @@
     FakeGroup group(5, 0, 12, options);
     const std::size_t leader = ElectWithoutFaults(group);
     group.SetSuspended(leader, true);
-    group.Run(2 * kElectionTimeout);
+    group.Run(2 * ElectionTimeout());
     Replica* const late = group.node(leader);
-    late->OnUnattended(2 * kElectionTimeout, group.now());
+    late->OnUnattended(2 * ElectionTimeout(), group.now());
     const std::uint64_t last_index = late->last_index();
     for (const std::size_t read : {(leader + 1) % 5, (leader + 2) % 5}) {
       wire::AppendReplyT reply;
@@ -200,7 +200,7 @@
     CPPUNIT_ASSERT(late->role() == Role::kLeader);
     CPPUNIT_ASSERT_EQUAL(last_index, late->last_index());
     CPPUNIT_ASSERT_EQUAL(std::size_t{5}, late->membership().VoterCount());
-    const Instant later = group.now() + kElectionTimeout;
+    const Instant later = group.now() + ElectionTimeout();
     late->Tick(later);
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, late->membership().VoterCount());
   }
@@ -218,11 +218,11 @@
     append.Set(wire::AppendRequestT());
     learner.Receive(leader, append, now);
     learner.TakeMessages(now);
-    now += 2 * kElectionTimeout + Millis(1);
-    learner.OnUnattended(2 * kElectionTimeout, now);
+    now += 2 * ElectionTimeout() + Millis(1);
+    learner.OnUnattended(2 * ElectionTimeout(), now);
     learner.Tick(now);
     CPPUNIT_ASSERT(learner.TakeMessages(now).empty());
-    now += kElectionTimeout + Millis(1);
+    now += ElectionTimeout() + Millis(1);
     learner.Tick(now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, learner.TakeMessages(now).size());
   }
@@ -232,11 +232,11 @@
     FakeGroup group(3, 10);
     const std::size_t leader = ElectWithoutFaults(group);
     Replica* const follower = group.node((leader + 1) % 3);
-    const Instant resumed = group.now() + 20 * kElectionTimeout;
-    follower->OnUnattended(20 * kElectionTimeout, resumed);
+    const Instant resumed = group.now() + 20 * ElectionTimeout();
+    follower->OnUnattended(20 * ElectionTimeout(), resumed);
     follower->Tick(resumed);
     CPPUNIT_ASSERT(follower->role() == Role::kFollower);
-    follower->Tick(resumed + kElectionTimeout);
+    follower->Tick(resumed + ElectionTimeout());
     CPPUNIT_ASSERT(follower->role() == Role::kPreCandidate);
   }
 
@@ -248,18 +248,18 @@
     const std::size_t candidate = (leader + 2) % 3;
     const auto confirmed_at = group.node(leader)->confirmed_at();
     const std::uint64_t confirmed = group.node(leader)->confirmed_round();
-    const Instant resumed = group.now() + kElectionTimeout;
-    group.node(leader)->OnUnattended(kElectionTimeout, resumed);
+    const Instant resumed = group.now() + ElectionTimeout();
+    group.node(leader)->OnUnattended(ElectionTimeout(), resumed);
     CPPUNIT_ASSERT(confirmed_at == group.node(leader)->confirmed_at());
     CPPUNIT_ASSERT_EQUAL(confirmed, group.node(leader)->confirmed_round());
-    group.node(late)->OnUnattended(kElectionTimeout, resumed);
+    group.node(late)->OnUnattended(ElectionTimeout(), resumed);
     wire::VoteRequestT request;
     request.term = group.node(late)->term() + 1;
     request.pre_vote = true;
     request.last_index = group.node(late)->last_index();
     request.last_term = group.node(late)->term();
     wire::BodyUnion body;
-    body.Set(std::move(request));
+    body.Set(request);
     group.node(late)->Receive(group.node(candidate)->id(), body, resumed);
     const auto replies = group.node(late)->TakeMessages(resumed);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.size());
--- a/tests/work_inbox_test.cc
+++ b/tests/work_inbox_test.cc
@@ -62,16 +62,16 @@
     const auto popped = m_inbox.Pop(m_now);
     CPPUNIT_ASSERT(popped->m_class == WorkClass::kReport);
     CPPUNIT_ASSERT(popped->m_waited == Millis(30));
-    CPPUNIT_ASSERT(popped->m_state == WorkState::kDue);
+    CPPUNIT_ASSERT(popped->m_state == InboxState::kDue);
   }
 
   void WorkIsOverdueOnceItsCallerLeft() {
     Push(WorkClass::kRead, "", Millis(100));
     Push(WorkClass::kRead, "", Millis(100));
     m_now += Millis(100);
-    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == WorkState::kDue);
+    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == InboxState::kDue);
     m_now += Millis(1);
-    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == WorkState::kOverdue);
+    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == InboxState::kOverdue);
   }
 
   void OnlySubmitsAreTooOld() {
@@ -82,17 +82,17 @@
     for (std::size_t i = 0; i < kWorkClasses; ++i) {
       const auto popped = m_inbox.Pop(m_now);
       CPPUNIT_ASSERT_EQUAL(popped->m_class == WorkClass::kSubmit,
-                           popped->m_state == WorkState::kTooOld);
+                           popped->m_state == InboxState::kTooOld);
     }
     Push(WorkClass::kSubmit);
     m_now += kMaxAge;
-    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == WorkState::kDue);
+    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == InboxState::kDue);
   }
 
   void OverdueSubmitIsNotRefused() {
     Push(WorkClass::kSubmit, "", kMaxAge);
     m_now += kMaxAge + Millis(1);
-    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == WorkState::kOverdue);
+    CPPUNIT_ASSERT(m_inbox.Pop(m_now)->m_state == InboxState::kOverdue);
   }
 
   void RefusalsDoNotWaitBehindReports() {
