Send entries again once for the rejections of one gap

A rejection that tells nothing new, of a request from before the entries were sent again, is left out now; one with an earlier hint, or of a later round, is handled.

This form passes replica_test and work_core_test.

--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -157,6 +157,10 @@
     std::uint64_t m_next_index = 1;   // Index of the next entry to send.
     std::uint64_t m_match_index = 0;  // The logs are equal up to here.
     std::uint64_t m_acked_round = 0;  // Newest acknowledged round.
+    // The round of the last rejection that was handled, and the index from
+    // which entries were sent again.
+    std::uint64_t m_rejected_round = 0;
+    std::uint64_t m_resent_from = 0;
     // Time of the last reply in this term. Initially the time of the election
     // or, for a member added later, of the next heartbeat. OnUnattended moves
     // it forward.
--- a/src/consensus/replica_replication.cc
+++ b/src/consensus/replica_replication.cc
@@ -194,9 +194,15 @@
   progress.m_acked_round = std::max(progress.m_acked_round, reply.round);
   AdvanceConfirmedRound();
   if (!reply.success) {
+    if (reply.round <= progress.m_rejected_round &&
+        reply.hint_index + 1 >= progress.m_resent_from) {
+      return;  // Answers a request from before the entries were sent again.
+    }
     progress.m_next_index =
         std::max(progress.m_match_index + 1,
                  std::min(progress.m_next_index, reply.hint_index + 1));
+    progress.m_rejected_round = m_last_round;
+    progress.m_resent_from = progress.m_next_index;
     SendAppend(from, progress, now);
     return;
   }
