Read a member's metrics as a whole before the leader is looked for

Cause: grep -q ends at its first match, the gauge is in the first lines, and curl writes a body of more than 4096 bytes in two parts; if grep has ended before the second, curl fails and, with pipefail, so does the condition. Ruled out: no leader (all three members were read right after each miss, one led each time), a time-out of curl (the test ended after 4.1 s). Beside a build, three members and 400 looks for the leader: 136 missed before, 0 of 400 with this change. What the test demands is unchanged.

--- a/tests/platform_processes.sh
+++ b/tests/platform_processes.sh
@@ -35,11 +35,12 @@
   pid_of[$1]=$!
 }
 leader() { # the name of the member that leads; empty if none does
-  local name
+  local name metrics
   for name in m1 m2 m3; do
     [ -n "${pid_of[$name]}" ] || continue
-    if curl -s -m 1 "http://127.0.0.${name#m}:9464/metrics" |
-      grep -q '^bronzebarrow_leading 1'; then
+    # Read as a whole: curl fails if grep ends before it has written all.
+    metrics="$(curl -s -m 1 "http://127.0.0.${name#m}:9464/metrics")" || continue
+    if grep -q '^bronzebarrow_leading 1' <<<"$metrics"; then
       echo "$name"
       return
     fi
