Test that the rejections of one gap cause entries to be sent again once

A second test covers what must stay: after a rejection of a later round, entries are sent once more.

--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -10,6 +10,7 @@
 
 Duration ElectionTimeout() { return ReplicaOptions().m_election_timeout; }
 constexpr std::uint64_t kSeeds = 4000;
+constexpr std::uint64_t kRejections = 100;  // Of one gap.
 constexpr std::uint64_t kSeedsWithReports = 1000;
 
 class ReplicaTest : public CppUnit::TestFixture {
@@ -21,6 +22,8 @@
   CPPUNIT_TEST(SingleReplicaCommitsAlone);
   CPPUNIT_TEST(LaggingReplicaCatchesUpBySnapshot);
   CPPUNIT_TEST(PartitionedReplicaDoesNotDeposeLeader);
+  CPPUNIT_TEST(EntriesAreSentAgainOnceForTheRejectionsOfOneGap);
+  CPPUNIT_TEST(EntriesAreSentAgainForARejectionOfALaterRound);
   CPPUNIT_TEST(LateFollowerStartsNoElection);
   CPPUNIT_TEST(LateLeaderKeepsItsRole);
   CPPUNIT_TEST(LateLeaderRemovesNobody);
@@ -142,6 +145,39 @@
     CPPUNIT_ASSERT(group.node(leader)->role() == Role::kLeader);
   }
 
+  // Guards against a leader whose memory grows with each append that a frozen
+  // member rejects when it is run again.
+  void EntriesAreSentAgainOnceForTheRejectionsOfOneGap() {
+    FakeGroup group(3, 13);
+    const Gap gap = MakeGap(group);
+    Replica* const leader = group.node(gap.m_leader);
+    for (std::uint64_t i = 1; i <= kRejections; ++i) {
+      Reject(group, gap, gap.m_round + i);
+    }
+    const std::size_t sent = CountEntries(*leader, group.now());
+    CPPUNIT_ASSERT(sent > 0);
+    CPPUNIT_ASSERT(sent <= gap.m_missing);
+  }
+
+  // Guards against a member that stays behind when the entries sent again are
+  // lost too.
+  void EntriesAreSentAgainForARejectionOfALaterRound() {
+    FakeGroup group(3, 14);
+    const Gap gap = MakeGap(group);
+    Replica* const leader = group.node(gap.m_leader);
+    Reject(group, gap, leader->confirmed_round());
+    CPPUNIT_ASSERT(CountEntries(*leader, group.now()) > 0);
+    group.Run(Millis(1000));
+    Reject(group, gap, leader->confirmed_round());
+    CPPUNIT_ASSERT(CountEntries(*leader, group.now()) > 0);
+    SetPartitioned(group, gap.m_follower, false);
+    const auto caught_up = [&] {
+      return group.AppliedIndex(gap.m_follower) >= gap.m_match + gap.m_missing;
+    };
+    CPPUNIT_ASSERT(group.RunUntil(caught_up, Millis(5000)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), group.violation());
+  }
+
   // Guards against a follower that was not run itself, and takes the leader for
   // lost before it has read the leader's messages.
   void LateFollowerStartsNoElection() {
@@ -279,6 +315,54 @@
   }
 
  private:
+  // A follower that has received none of the last entries, which were sent to
+  // it in at least kRejections rounds.
+  struct Gap {
+    std::size_t m_leader;
+    std::size_t m_follower;
+    std::uint64_t m_round;    // The last round that reached the follower.
+    std::uint64_t m_match;    // The follower's last index.
+    std::uint64_t m_missing;  // Number of entries after it.
+  };
+
+  // Cuts a follower off while entries are sent to it.
+  static Gap MakeGap(FakeGroup& group) {
+    const std::size_t leader = ElectWithoutFaults(group);
+    const std::size_t follower = (leader + 1) % group.size();
+    const std::uint64_t match = group.node(follower)->last_index();
+    const std::uint64_t round = group.node(leader)->confirmed_round();
+    SetPartitioned(group, follower, true);
+    while (group.node(leader)->confirmed_round() < round + kRejections) {
+      group.ProposeAtEveryNode();
+      group.Run(Millis(20));
+    }
+    CPPUNIT_ASSERT_EQUAL(match, group.node(follower)->last_index());
+    return {leader, follower, round, match,
+            group.node(leader)->last_index() - match};
+  }
+
+  // The follower's rejection of an append of `round` reaches the leader.
+  static void Reject(FakeGroup& group, const Gap& gap, std::uint64_t round) {
+    Replica* const leader = group.node(gap.m_leader);
+    wire::AppendReplyT reply;
+    reply.term = leader->term();
+    reply.success = false;
+    reply.hint_index = gap.m_match;
+    reply.round = round;
+    wire::BodyUnion body;
+    body.Set(reply);
+    leader->Receive(group.node(gap.m_follower)->id(), body, group.now());
+  }
+
+  static std::size_t CountEntries(Replica& leader, Instant now) {
+    std::size_t entries = 0;
+    for (const Outgoing& message : leader.TakeMessages(now)) {
+      const auto* append = message.m_body.AsAppendRequest();
+      entries += append == nullptr ? 0 : append->entries.size();
+    }
+    return entries;
+  }
+
   static std::size_t ElectWithoutFaults(FakeGroup& group) {
     group.faults() = {0, 0, Millis(5), Millis(5)};
     CPPUNIT_ASSERT(group.RunUntil(
