--- a/tests/ends_of_runners_test.cc
+++ b/tests/ends_of_runners_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(FailureOfAnEarlierCallIsNoProofOfSilence);
   CPPUNIT_TEST(InheritedRunnerThatWasNotAskedIsAskedFirst);
   CPPUNIT_TEST(CallsThatWereNotSentShowNothing);
+  CPPUNIT_TEST(CallThatARelayDidNotSendIsRepeatedDirectly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -652,6 +653,29 @@
     CPPUNIT_ASSERT(!IsRunning(Run(1, 1)) && !IsAssigned(Run(1, 1)));
   }
 
+  // Guards against a hold that waits for the next interval, or goes to the same
+  // late member again, when that member did not send it.
+  void CallThatARelayDidNotSendIsRepeatedDirectly() {
+    Assign(1, 1, Id(0));
+    Work(Millis(500));
+    const RunnerLink& link = *m_dispatcher->FindLink(Id(0));
+    std::vector<RunnerCall> calls;
+    while (calls.empty()) {
+      calls = Step();
+    }
+    for (const RunnerCall& call : calls) {
+      Return(call, Failed(AnswerKind::kNotSent));
+    }
+    CPPUNIT_ASSERT(link.m_bypasses_relay);
+    const std::vector<RunnerCall> repeated = Step();
+    CPPUNIT_ASSERT_EQUAL(calls.size(), repeated.size());
+    for (const RunnerCall& call : repeated) {
+      CPPUNIT_ASSERT(call.m_kind == CallKind::kHold);
+      Return(call, Execute(call));
+    }
+    CPPUNIT_ASSERT(!link.m_bypasses_relay);
+  }
+
  private:
   // The owner's process does not run until then.
   void SkipTo(Instant time) {
@@ -661,7 +685,7 @@
     }
   }
 
-  // @return a call that ends the run at its runner; the owner knows nothing
+  // @return a call that ends the run at its runner, not made by the owner
   RunnerCall Stop(const jobs::RunKey& run) const {
     RunnerCall call;
     call.m_kind = CallKind::kStop;
