Try suspects that have waited on idle runners beyond the usual share

Each was at fault itself, had crashed one runner and waited 20 to 30 s for its second start. Ruled out: a stalled queue of suspects (trials never pause), runners without room (29 of 96 cores used).

A suspect that has waited for 5 s is now tried on a runner without runs, up to two thirds of the pool, while no bystander waits for a trial.

--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -32,6 +32,10 @@
 // need a trial of their own.
 constexpr std::size_t kMaxSharedTrials = 8;
 
+// A suspect that has waited this long since its crash may be tried on a runner
+// without runs although the usual share of the pool is on trial or crashed.
+constexpr std::uint64_t kMaxTrialDelayMs = 5000;
+
 /** One pass of planning over all pools. */
 class PlanningPass {
  public:
@@ -119,6 +123,8 @@
     std::size_t m_runners = 0;  // Usable, whether they are candidates or not.
     std::size_t m_trials = 0;   // Runners that try a suspect, or will.
     std::size_t m_crashed = 0;  // Runners that may not be back yet.
+    // A suspect that is probably no cause waits for its trial.
+    bool m_has_waiting_bystander = false;
     // Needs of steps without further constraints that fit on no runner. Steps
     // that need at least as much per task are skipped, because free capacity
     // only shrinks during a pass.
@@ -321,12 +327,21 @@
     const std::size_t runners = pool.m_runners + pool.m_crashed;
     const std::size_t limit = std::max<std::size_t>(
         is_likely_cause ? runners / 3 : (runners - 1) / 2, 1);
-    if (pool.m_trials + pool.m_crashed >= limit) {
+    const std::size_t occupied = pool.m_trials + pool.m_crashed;
+    const bool exceeds_limit = occupied >= limit;
+    const jobs::RunnerCrash& crash = task.m_crashes.back();
+    if (exceeds_limit && !crash.m_only_suspect) {
+      pool.m_has_waiting_bystander = true;
+    }
+    if (exceeds_limit &&
+        (pool.m_has_waiting_bystander || occupied >= 2 * runners / 3 ||
+         m_input.m_now_ms < crash.m_time_ms + kMaxTrialDelayMs)) {
       return;
     }
     std::vector<Candidate> settled;
     for (const Candidate& candidate : pool.m_candidates) {
       if (!candidate.m_kept_for_trial &&
+          (!exceeds_limit || candidate.m_runner->m_assigned.empty()) &&
           !(m_input.m_has_unsettled_run &&
             m_input.m_has_unsettled_run(*candidate.m_runner))) {
         settled.push_back(candidate);
@@ -335,9 +350,10 @@
     const Candidate* const ready = FindBestCandidate(
         ranked, key, spec, task, need, tasks_on_rack, settled);
     const Candidate* const best =
-        ready != nullptr ? ready
-                         : FindBestCandidate(ranked, key, spec, task, need,
-                                             tasks_on_rack, pool.m_candidates);
+        ready != nullptr || exceeds_limit
+            ? ready
+            : FindBestCandidate(ranked, key, spec, task, need, tasks_on_rack,
+                                pool.m_candidates);
     if (best == nullptr) {
       return;
     }
--- a/tests/crash_replay_test.cc
+++ b/tests/crash_replay_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(PoolKeepsMostOfItsRunners);
   CPPUNIT_TEST(CrashesWithoutACauseFailNoJob);
   CPPUNIT_TEST(BystandersOfManyCrashesAreTriedInTime);
+  CPPUNIT_TEST(TasksAtFaultAreTriedInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -99,6 +100,21 @@
     }
   }
 
+  // Load pattern: a fifth of the jobs crash their runners to the end of the
+  // load, so that many wait for their second start.
+  // Target: within 15 s after the last job each of them has ended.
+  void TasksAtFaultAreTriedInTime() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      LoadPattern pattern = Pattern(seed, 0.2);
+      pattern.m_length = Millis(12'000);
+      const LoadResult result = Play(pattern);
+      const std::string at = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_MESSAGE(at, result.m_crashing.m_tasks > 10);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::size_t{0},
+                                   result.m_crashing.m_not_failed);
+    }
+  }
+
  private:
   static LoadPattern Pattern(std::uint64_t seed, double crashing_share) {
     LoadPattern pattern;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(JobsStartApartAfterCrashesAtStarts);
   CPPUNIT_TEST(SuspectThatMayBeABystanderIsTriedFirst);
   CPPUNIT_TEST(LikelyCauseIsTriedByAThirdOfThePool);
+  CPPUNIT_TEST(SuspectThatHasWaitedIsTriedOnAnIdleRunner);
   CPPUNIT_TEST(SuspectsOfOlderCrashesShareATrial);
   CPPUNIT_TEST(TrialWaitsUntilTheOtherRunsHaveSettled);
   CPPUNIT_TEST(TrialsLeaveThePoolMostOfItsRunners);
@@ -50,6 +51,7 @@
     m_trying.clear();
     m_unsettled.clear();
     m_crashed = 0;
+    m_plan_ms = kNowMs;
     wire::PutConfigT put;
     put.config = std::make_unique<wire::FleetConfigT>();
     put.config->version = 1;
@@ -468,6 +470,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, PlanNow().size());
   }
 
+  // Guards against tasks at fault that are not tried again within the time that
+  // their callers wait, because a pool that has become small tries one at a
+  // time.
+  void SuspectThatHasWaitedIsTriedOnAnIdleRunner() {
+    MakeSuspects(1);
+    m_crashed = 2;  // Of five.
+    m_plan_ms = kNowMs + 4'900;
+    CPPUNIT_ASSERT(PlanNow().empty());
+    m_plan_ms = kNowMs + 5'000;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, PlanNow().size());
+    m_crashed = 6;  // Of nine.
+    CPPUNIT_ASSERT(PlanNow().empty());
+    m_crashed = 2;
+    for (jobs::JobId id = 2; id <= 3; ++id) {
+      Submit(id, MakeStep(1), kNowMs);
+      Assign({{{id, 0, 0, 0}, "r" + std::to_string(id - 1)}});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("r0"), PlanNow().at({1, 0, 0, 0}));
+    Submit(4, MakeStep(1), kNowMs);
+    Assign({{{4, 0, 0, 0}, "r0"}});
+    CPPUNIT_ASSERT(PlanNow().empty());
+  }
+
   // Load pattern: runners crash by themselves so often that many tasks have
   // seen three crashes, each some time after the start.
   void SuspectsOfOlderCrashesShareATrial() {
@@ -670,7 +695,7 @@
 
   std::map<jobs::TaskKey, std::string> PlanNow() {
     PlanInput input(*m_state);
-    input.m_now_ms = kNowMs;
+    input.m_now_ms = m_plan_ms;
     input.m_is_usable = [](const jobs::Runner&) { return true; };
     input.m_is_trying = [this](const jobs::Runner& runner) {
       return m_trying.contains(runner.m_record.id);
@@ -699,6 +724,7 @@
   std::set<std::string> m_trying;     // Runners that try a suspect.
   std::set<std::string> m_unsettled;  // Runners with a run that is new.
   std::size_t m_crashed = 0;          // Runners that are not back yet.
+  std::uint64_t m_plan_ms = kNowMs;   // Unix time of the plans.
   bool m_keeps_jobs_apart = false;
   // Jobs that have just started, by runner.
   std::map<std::string, std::set<jobs::JobId>> m_starting;
