Let overdue trials take more of a pool only while nothing else waits in it

In a loaded pool a crashed runner that comes back has none, and an overdue trial takes it before the tasks that wait. Also a bystander that found no runner did not count as waiting.

The pool now counts its startable tasks; overdue trials go beyond the usual share only if all of them caused a crash, probably.

--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -32,9 +32,8 @@
 // need a trial of their own.
 constexpr std::size_t kMaxSharedTrials = 8;
 
-// A suspect that has waited this long since its crash may be tried on a runner
-// without runs although the usual share of the pool is on trial or crashed.
-constexpr std::uint64_t kMaxTrialDelayMs = 5000;
+// A trial is overdue if its task has waited this long since its last crash.
+constexpr std::uint64_t kOverdueTrialMs = 5000;
 
 /** One pass of planning over all pools. */
 class PlanningPass {
@@ -59,25 +58,25 @@
     const jobs::WorkState& state = m_input.m_state;
     std::vector<std::tuple<bool, std::uint64_t, jobs::TaskKey>> waiting;
     for (const jobs::TaskKey& key : state.suspects()) {
-      const jobs::Task& task = *state.FindJob(key.m_job)->FindTask(key);
-      if (task.m_state == jobs::TaskState::kWaiting) {
-        const jobs::RunnerCrash& crash = task.m_crashes.back();
-        waiting.emplace_back(crash.m_only_suspect, crash.m_time_ms, key);
+      const jobs::Job& job = *state.FindJob(key.m_job);
+      const jobs::Task& task = *job.FindTask(key);
+      Pool* const pool = FindPool(job);
+      if (task.m_state != jobs::TaskState::kWaiting || pool == nullptr ||
+          !job.IsStepReady(job.m_occurrences.at(key.m_occurrence),
+                           key.m_step)) {
+        continue;
       }
+      const jobs::RunnerCrash& crash = task.m_crashes.back();
+      pool->m_waiting_causes += crash.m_only_suspect ? 1 : 0;
+      waiting.emplace_back(crash.m_only_suspect, crash.m_time_ms, key);
     }
     std::sort(waiting.begin(), waiting.end());
     for (const auto& [only_suspect, crashed_ms, key] : waiting) {
       const jobs::Job& job = *state.FindJob(key.m_job);
-      const jobs::Occurrence& occurrence =
-          job.m_occurrences.at(key.m_occurrence);
-      const wire::QueueSpecT* const queue = state.queues().Find(job.m_queue);
-      const auto pool =
-          queue == nullptr ? m_pools.end() : m_pools.find(queue->pool);
-      if (pool != m_pools.end() && job.IsStepReady(occurrence, key.m_step)) {
-        PlaceSuspect({&job, queue}, key, occurrence.m_steps[key.m_step],
-                     only_suspect && pool->second.m_keeps_jobs_apart,
-                     pool->second);
-      }
+      Pool& pool = *FindPool(job);
+      PlaceSuspect({&job, state.queues().Find(job.m_queue)}, key,
+                   job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step],
+                   only_suspect && pool.m_keeps_jobs_apart, pool);
     }
   }
 
@@ -123,8 +122,8 @@
     std::size_t m_runners = 0;  // Usable, whether they are candidates or not.
     std::size_t m_trials = 0;   // Runners that try a suspect, or will.
     std::size_t m_crashed = 0;  // Runners that may not be back yet.
-    // A suspect that is probably no cause waits for its trial.
-    bool m_has_waiting_bystander = false;
+    std::size_t m_waiting = 0;  // Startable tasks.
+    std::size_t m_waiting_causes = 0;  // Those that caused a crash, probably.
     // Needs of steps without further constraints that fit on no runner. Steps
     // that need at least as much per task are skipped, because free capacity
     // only shrinks during a pass.
@@ -138,6 +137,7 @@
               !job.IsStepReady(occurrence, step)) {
             continue;
           }
+          m_waiting += occurrence.m_steps[step].m_waiting;
           const jobs::Resources need =
               spec.lasting ? jobs::Resources() : jobs::ResourcesOf(spec);
           if (!m_least_need) {
@@ -159,6 +159,15 @@
     }
   };
 
+  // Null if none of the pool's jobs can start.
+  Pool* FindPool(const jobs::Job& job) {
+    const wire::QueueSpecT* const queue =
+        m_input.m_state.queues().Find(job.m_queue);
+    const auto pool =
+        queue == nullptr ? m_pools.end() : m_pools.find(queue->pool);
+    return pool == m_pools.end() ? nullptr : &pool->second;
+  }
+
   void AddCandidates(const std::string& name, Pool& pool) {
     pool.m_crashed =
         m_input.m_count_crashed ? m_input.m_count_crashed(name) : 0;
@@ -323,19 +332,17 @@
       }
     }
     // Suspects that crash their runners must leave the pool most of them, and
-    // likely ones also when a new task crashes one more.
+    // likely ones also when a new task crashes one more. Overdue trials may
+    // take more runners without runs from a pool in which nothing else waits.
     const std::size_t runners = pool.m_runners + pool.m_crashed;
     const std::size_t limit = std::max<std::size_t>(
         is_likely_cause ? runners / 3 : (runners - 1) / 2, 1);
     const std::size_t occupied = pool.m_trials + pool.m_crashed;
     const bool exceeds_limit = occupied >= limit;
-    const jobs::RunnerCrash& crash = task.m_crashes.back();
-    if (exceeds_limit && !crash.m_only_suspect) {
-      pool.m_has_waiting_bystander = true;
-    }
-    if (exceeds_limit &&
-        (pool.m_has_waiting_bystander || occupied >= 2 * runners / 3 ||
-         m_input.m_now_ms < crash.m_time_ms + kMaxTrialDelayMs)) {
+    if (exceeds_limit && (pool.m_waiting > pool.m_waiting_causes ||
+                          occupied >= 2 * runners / 3 ||
+                          m_input.m_now_ms < task.m_crashes.back().m_time_ms +
+                                                 kOverdueTrialMs)) {
       return;
     }
     std::vector<Candidate> settled;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -483,6 +483,10 @@
     m_crashed = 6;  // Of nine.
     CPPUNIT_ASSERT(PlanNow().empty());
     m_crashed = 2;
+    Submit(9, MakeStep(1), kNowMs);
+    CPPUNIT_ASSERT(!PlanNow().contains({1, 0, 0, 0}));
+    Assign({{{9, 0, 0, 0}, "r2"}});
+    EndRun({9, 0, 0, 0}, "r2");
     for (jobs::JobId id = 2; id <= 3; ++id) {
       Submit(id, MakeStep(1), kNowMs);
       Assign({{{id, 0, 0, 0}, "r" + std::to_string(id - 1)}});
