--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -67,7 +67,10 @@
         continue;
       }
       const jobs::RunnerCrash& crash = task.m_crashes.back();
-      pool->m_waiting_causes += crash.m_only_suspect ? 1 : 0;
+      if (crash.m_only_suspect) {
+        const wire::StepSpecT& spec = *job.m_spec.steps[key.m_step];
+        pool->m_waiting_need.Add(jobs::ResourcesOf(spec), -1);
+      }
       waiting.emplace_back(crash.m_only_suspect, crash.m_time_ms, key);
     }
     std::sort(waiting.begin(), waiting.end());
@@ -122,8 +125,9 @@
     std::size_t m_runners = 0;  // Usable, whether they are candidates or not.
     std::size_t m_trials = 0;   // Runners that try a suspect, or will.
     std::size_t m_crashed = 0;  // Runners that may not be back yet.
-    std::size_t m_waiting = 0;  // Startable tasks.
-    std::size_t m_waiting_causes = 0;  // Those that caused a crash, probably.
+    // What the startable tasks need, but for those that were the only suspect
+    // of a crash.
+    jobs::Resources m_waiting_need;
     // Needs of steps without further constraints that fit on no runner. Steps
     // that need at least as much per task are skipped, because free capacity
     // only shrinks during a pass.
@@ -137,7 +141,8 @@
               !job.IsStepReady(occurrence, step)) {
             continue;
           }
-          m_waiting += occurrence.m_steps[step].m_waiting;
+          m_waiting_need.Add(jobs::ResourcesOf(spec),
+                             occurrence.m_steps[step].m_waiting);
           const jobs::Resources need =
               spec.lasting ? jobs::Resources() : jobs::ResourcesOf(spec);
           if (!m_least_need) {
@@ -333,14 +338,13 @@
     }
     // Suspects that crash their runners must leave the pool most of them, and
     // likely ones also when a new task crashes one more. Overdue trials may
-    // take more runners without runs from a pool in which nothing else waits.
+    // take more runners that have no runs, if what else waits fits on others.
     const std::size_t runners = pool.m_runners + pool.m_crashed;
     const std::size_t limit = std::max<std::size_t>(
         is_likely_cause ? runners / 3 : (runners - 1) / 2, 1);
     const std::size_t occupied = pool.m_trials + pool.m_crashed;
     const bool exceeds_limit = occupied >= limit;
-    if (exceeds_limit && (pool.m_waiting > pool.m_waiting_causes ||
-                          occupied >= 2 * runners / 3 ||
+    if (exceeds_limit && (occupied >= 2 * runners / 3 ||
                           m_input.m_now_ms < task.m_crashes.back().m_time_ms +
                                                  kOverdueTrialMs)) {
       return;
@@ -361,7 +365,7 @@
             ? ready
             : FindBestCandidate(ranked, key, spec, task, need, tasks_on_rack,
                                 pool.m_candidates);
-    if (best == nullptr) {
+    if (best == nullptr || (exceeds_limit && !HasRoomWithout(*best, pool))) {
       return;
     }
     ++pool.m_trials;
@@ -379,6 +383,18 @@
     }
   }
 
+  // Whether all that waits in the pool fits on other runners than the
+  // candidate.
+  static bool HasRoomWithout(const Candidate& candidate, const Pool& pool) {
+    jobs::Resources room;
+    for (const Candidate& other : pool.m_candidates) {
+      if (!other.m_kept_for_trial && other.m_runner != candidate.m_runner) {
+        room.Add(other.m_free, 1);
+      }
+    }
+    return room.Fits(pool.m_waiting_need);
+  }
+
   // Tasks of one step are tried apart: how many of them a runner may have is
   // only counted at the start of a pass.
   bool CanJoinTrial(const Candidate& candidate,
