--- a/include/bronzebarrow/consensus/replica.h
+++ b/include/bronzebarrow/consensus/replica.h
@@ -165,8 +165,9 @@
     // or, for a member added later, of the next heartbeat. OnUnattended moves
     // it forward.
     Instant m_last_reply_at;
-    // When a snapshot was sent; empty once an append or snapshot succeeded.
+    // When a snapshot was sent; empty once the log reaches up to its index.
     std::optional<Instant> m_snapshot_sent_at;
+    std::uint64_t m_snapshot_index = 0;
   };
 
   void OnVoteRequest(const ReplicaId& from, const wire::VoteRequestT& request,
--- a/src/consensus/replica_replication.cc
+++ b/src/consensus/replica_replication.cc
@@ -89,6 +89,7 @@
   }
   BRONZEBARROW_INVARIANT(m_snapshot != nullptr);
   progress.m_snapshot_sent_at = now;
+  progress.m_snapshot_index = m_snapshot->last_index;
   wire::SnapshotRequestT request;
   request.term = m_term;
   request.round = m_last_round;
@@ -206,7 +207,9 @@
     SendAppend(from, progress, now);
     return;
   }
-  progress.m_snapshot_sent_at.reset();
+  if (reply.match_index >= progress.m_snapshot_index) {
+    progress.m_snapshot_sent_at.reset();
+  }
   progress.m_match_index = std::max(progress.m_match_index, reply.match_index);
   progress.m_next_index =
       std::max(progress.m_next_index, progress.m_match_index + 1);
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(PartitionedReplicaDoesNotDeposeLeader);
   CPPUNIT_TEST(EntriesAreSentAgainOnceForTheRejectionsOfOneGap);
   CPPUNIT_TEST(EntriesAreSentAgainForARejectionOfALaterRound);
+  CPPUNIT_TEST(SnapshotIsSentOnceForTheAnswersOfOneGap);
   CPPUNIT_TEST(LateFollowerStartsNoElection);
   CPPUNIT_TEST(LateLeaderKeepsItsRole);
   CPPUNIT_TEST(LateLeaderRemovesNobody);
@@ -178,6 +179,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), group.violation());
   }
 
+  // Guards against a leader whose memory grows by a snapshot with each append
+  // that a frozen member accepts when it is run again.
+  void SnapshotIsSentOnceForTheAnswersOfOneGap() {
+    FakeGroup group(3, 15);
+    const Gap gap = MakeGap(group);
+    Replica* const leader = group.node(gap.m_leader);
+    for (int i = 0; i < 20; ++i) {
+      group.CompactRandomNodes();
+    }
+    Reject(group, gap, leader->confirmed_round());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, CountSnapshots(*leader, group.now()));
+    for (std::uint64_t i = 1; i <= kRejections; ++i) {
+      Accept(group, gap, gap.m_round + i);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountSnapshots(*leader, group.now()));
+    // That snapshot did not arrive, so another one is sent after a while.
+    SetPartitioned(group, gap.m_follower, false);
+    const auto caught_up = [&] {
+      return group.AppliedIndex(gap.m_follower) >= gap.m_match + gap.m_missing;
+    };
+    CPPUNIT_ASSERT(group.RunUntil(caught_up, Millis(5000)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), group.violation());
+  }
+
   // Guards against a follower that was not run itself, and takes the leader for
   // lost before it has read the leader's messages.
   void LateFollowerStartsNoElection() {
@@ -343,11 +368,23 @@
 
   // The follower's rejection of an append of `round` reaches the leader.
   static void Reject(FakeGroup& group, const Gap& gap, std::uint64_t round) {
-    Replica* const leader = group.node(gap.m_leader);
     wire::AppendReplyT reply;
-    reply.term = leader->term();
-    reply.success = false;
     reply.hint_index = gap.m_match;
+    Answer(group, gap, round, std::move(reply));
+  }
+
+  // The follower accepts an append of `round` without entries.
+  static void Accept(FakeGroup& group, const Gap& gap, std::uint64_t round) {
+    wire::AppendReplyT reply;
+    reply.success = true;
+    reply.match_index = gap.m_match;
+    Answer(group, gap, round, std::move(reply));
+  }
+
+  static void Answer(FakeGroup& group, const Gap& gap, std::uint64_t round,
+                     wire::AppendReplyT reply) {
+    Replica* const leader = group.node(gap.m_leader);
+    reply.term = leader->term();
     reply.round = round;
     wire::BodyUnion body;
     body.Set(reply);
@@ -363,6 +400,14 @@
     return entries;
   }
 
+  static std::size_t CountSnapshots(Replica& leader, Instant now) {
+    std::size_t snapshots = 0;
+    for (const Outgoing& message : leader.TakeMessages(now)) {
+      snapshots += message.m_body.AsSnapshotRequest() == nullptr ? 0 : 1;
+    }
+    return snapshots;
+  }
+
   static std::size_t ElectWithoutFaults(FakeGroup& group) {
     group.faults() = {0, 0, Millis(5), Millis(5)};
     CPPUNIT_ASSERT(group.RunUntil(
