--- a/tests/overload_model.cc
+++ b/tests/overload_model.cc
@@ -13,7 +13,7 @@
 
 constexpr Duration kTickInterval = Millis(25);
 constexpr Duration kNetworkDelay = Millis(1);
-// As LeaderLink and the members' views.
+// The intervals of LeaderLink and of the members' views.
 constexpr Duration kNoLeaderRetryInterval = Millis(40);
 constexpr Duration kViewInterval = Millis(400);
 // How long the caller of a submit or read waits for its answer.
@@ -325,7 +325,7 @@
   Send(id);
 }
 
-// As LeaderLink: a call goes once over a live connection, with the time that
+// Like LeaderLink, sends a call once over a live connection, with the time that
 // its caller still waits.
 void OverloadModel::Send(std::uint64_t id) {
   const auto found = m_callers.find(id);
--- a/tests/processor_costs.h
+++ b/tests/processor_costs.h
@@ -1,5 +1,5 @@
-// Processor time of a member's work, by kind, as measured by
-// OVERLOAD_COSTS=1 build/tests/overload_test on the real functions.
+// Processor time of a member's work, by kind; OVERLOAD_COSTS=1
+// build/tests/overload_test prints that of the real functions.
 #ifndef BRONZEBARROW_TESTS_PROCESSOR_COSTS_H_
 #define BRONZEBARROW_TESTS_PROCESSOR_COSTS_H_
 
--- a/tests/relay_table_test.cc
+++ b/tests/relay_table_test.cc
@@ -199,7 +199,7 @@
     CPPUNIT_ASSERT(FromWire(relayed).m_kind == runs::AnswerKind::kInvalid);
   }
 
-  // A member of a later version may send kinds that this one does not know.
+  // A member of a later version may send kinds that this one lacks.
   void UnknownKindOfAnswerIsNone() {
     runs::RunnerAnswer answer;
     answer.m_kind = runs::AnswerKind::kNotSent;
