--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -370,7 +370,7 @@
   static void Reject(FakeGroup& group, const Gap& gap, std::uint64_t round) {
     wire::AppendReplyT reply;
     reply.hint_index = gap.m_match;
-    Answer(group, gap, round, std::move(reply));
+    Answer(group, gap, round, reply);
   }
 
   // The follower accepts an append of `round` without entries.
@@ -378,7 +378,7 @@
     wire::AppendReplyT reply;
     reply.success = true;
     reply.match_index = gap.m_match;
-    Answer(group, gap, round, std::move(reply));
+    Answer(group, gap, round, reply);
   }
 
   static void Answer(FakeGroup& group, const Gap& gap, std::uint64_t round,
