Limit the number of fields of a request

Callers saw nothing; the process took 324 MB for 1,200 clients that sent a head of 16 KiB with 4,000 empty fields each and held the body back, and ends on a machine of 160 MB. A field takes twenty times its bytes in Beast's message, and only the read buffer and the body were counted.

RequestParser refuses the 101st field as it is parsed, which bounds what the fields of a head take. Ordinary clients send fewer than twenty.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "bronzebarrow/base/event_log.h"
+#include "net/request_parser.h"
 
 namespace bronzebarrow::net {
 namespace {
@@ -262,7 +263,7 @@
     Connection& connection, beast::flat_buffer& buffer,
     const HttpServerLimits& limits, std::optional<HttpRequest>& request) {
   beast::tcp_stream& stream = connection.m_stream;
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header_bytes));
   parser.body_limit(limits.m_max_body_bytes);
   parser.eager(true);  // Takes head and body that arrived together at once.
