Check the structure of documents before they are parsed, and count calls

Callers of a loaded entry were closed or got 504: 1,200 jobs of 83,000 empty steps, 250 KB each, took 742 MB of an entry without a leader and 1,071 MB of one with three members. A value takes many times its two bytes, the parsed job outlives its bytes, what a served request holds was not counted, and more than 1,000 steps were refused by the leader only, after all was sent.

Names and labels are bounded. - RequestMemory: a handler reserves what its parsed body and its call take; what does not fit is refused with 503 before it is sent. LeaderLink refuses calls while too much waits to be sent to the leader.

--- a/include/bronzebarrow/base/error_code.h
+++ b/include/bronzebarrow/base/error_code.h
@@ -56,6 +56,7 @@
   // Requests from callers, and calls to targets and runners.
   kRequestMalformed,
   kRequestTooLarge,
+  kDocumentTooComplex,
   kPlanMissing,
   kPlanUnknown,
   kDeadlineInvalid,
@@ -80,7 +81,7 @@
 
 template <>
 struct EnumNames<ErrorCode> {
-  static constexpr std::array<std::string_view, 61> kNames = {
+  static constexpr std::array<std::string_view, 62> kNames = {
       "ok",
       "settings_unreadable",
       "settings_malformed",
@@ -122,6 +123,7 @@
       "pool_unknown",
       "request_malformed",
       "request_too_large",
+      "document_too_complex",
       "plan_missing",
       "plan_unknown",
       "deadline_invalid",
--- a/include/bronzebarrow/jobs.h
+++ b/include/bronzebarrow/jobs.h
@@ -5,6 +5,7 @@
 
 #include "bronzebarrow/jobs/crash_evidence.h"
 #include "bronzebarrow/jobs/job.h"
+#include "bronzebarrow/jobs/job_memory.h"
 #include "bronzebarrow/jobs/queue_table.h"
 #include "bronzebarrow/jobs/runner.h"
 #include "bronzebarrow/jobs/task_key.h"
--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -14,6 +14,11 @@
 
 namespace bronzebarrow::jobs {
 
+// Limits on one job, so that a single submission cannot exhaust the memory of
+// the control members. The widest step in use has about 100 tasks.
+constexpr std::size_t kMaxSteps = 1000;
+constexpr std::size_t kMaxTasks = 20'000;
+
 enum class TaskState : std::uint8_t {
   kWaiting,   // Never assigned, or the last run ended without completing it.
   kAssigned,  // A run is assigned to a runner and its end is not recorded.
--- a/include/bronzebarrow/net/frame_connection.h
+++ b/include/bronzebarrow/net/frame_connection.h
@@ -50,6 +50,8 @@
   void Start(OnFrame on_frame, OnClose on_close);
   /** Like Start, and leaves it to the receiver to unpack frames. */
   void StartReceiving(OnReceived on_received, OnClose on_close);
+  /** @return bytes that wait to be sent. For callers on the executor. */
+  std::size_t unsent_bytes() const { return m_unsent_bytes; }
   /** Frames that are sent while others are being written leave together. */
   void Send(const wire::FrameT& frame);
   void Close();
--- a/include/bronzebarrow/net/frame_dialer.h
+++ b/include/bronzebarrow/net/frame_dialer.h
@@ -38,6 +38,8 @@
   void CloseConnection();
   /** @return whether there was a connection; does not confirm delivery. */
   bool Send(const wire::FrameT& frame);
+  /** @return bytes that wait to be sent; 0 without a connection. */
+  std::size_t unsent_bytes() const;
 
  private:
   /** Connects and reconnects until stopped. */
--- a/include/bronzebarrow/net/http_server.h
+++ b/include/bronzebarrow/net/http_server.h
@@ -25,6 +25,7 @@
 #include "bronzebarrow/base/time.h"
 #include "bronzebarrow/net/acceptor.h"
 #include "bronzebarrow/net/connection_table.h"
+#include "bronzebarrow/net/request_memory.h"
 
 namespace bronzebarrow::net {
 
@@ -47,7 +48,10 @@
   Duration m_idle_timeout = Millis(120'000);
   // Set when the server starts.
   std::size_t m_max_connections = 2000;
-  /** Of all requests that are read and responses that are written. */
+  /**
+   * Of all requests that are read or served, with what their handlers reserve,
+   * and of all responses that are written.
+   */
   std::size_t m_max_buffered_bytes = 64 << 20;
 };
 
@@ -55,6 +59,9 @@
  public:
   using Handler = std::function<boost::asio::awaitable<HttpResponse>(
       const HttpRequest& request)>;
+  /** A handler that holds more than the request. */
+  using ReservingHandler = std::function<boost::asio::awaitable<HttpResponse>(
+      const HttpRequest& request, RequestMemory& memory)>;
 
   /**
    * Listens and passes each request to `handler`, which may be called from
@@ -63,6 +70,9 @@
   static Result<std::shared_ptr<HttpServer>> Listen(
       boost::asio::any_io_executor executor, const Address& address,
       Handler handler, HttpServerLimits limits = {});
+  static Result<std::shared_ptr<HttpServer>> ListenReserving(
+      boost::asio::any_io_executor executor, const Address& address,
+      ReservingHandler handler, HttpServerLimits limits);
 
   explicit HttpServer(const HttpServerLimits& limits);
   /**
@@ -110,6 +120,11 @@
   boost::asio::awaitable<std::optional<HttpResponse>> ReadRequest(
       Connection& connection, boost::beast::flat_buffer& buffer,
       const HttpServerLimits& limits, std::optional<HttpRequest>& request);
+  // Passes the request to the handler, with the memory that it may reserve.
+  // `held` is what the connection holds already.
+  boost::asio::awaitable<HttpResponse> Handle(Connection& connection,
+                                              const HttpRequest& request,
+                                              std::size_t held);
   // Returns false if there is no place for the connection.
   bool AddConnection(const ConnectionPtr& connection);
   void SetState(const Connection& connection, ConnectionState state);
@@ -121,7 +136,7 @@
   bool HasConnections();
 
   boost::asio::any_io_executor m_executor;
-  Handler m_handler;
+  ReservingHandler m_handler;
   std::shared_ptr<Acceptor> m_acceptor;
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_draining{false};
@@ -141,6 +156,12 @@
 HttpResponse MakeErrorResponse(boost::beast::http::status status,
                                ErrorCode code, const std::string& context);
 
+/**
+ * @return the refusal of a request that does not fit into memory, which has not
+ * run, with the time after which the client may return
+ */
+HttpResponse MakeOverloadedResponse();
+
 }  // namespace bronzebarrow::net
 
 #endif  // BRONZEBARROW_NET_HTTP_SERVER_H_
--- a/include/bronzebarrow/node/leader_link.h
+++ b/include/bronzebarrow/node/leader_link.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,11 @@
                                                 Instant deadline);
   /** Ends the calls in progress, e.g. because this member leads now. */
   void EndCalls();
+  /**
+   * Refuses calls while more than this waits to be sent to the leader. They
+   * have not run.
+   */
+  void LimitUnsentBytes(std::size_t bytes) { m_max_unsent_bytes = bytes; }
   /** Later calls end at `deadline` at the latest, e.g. before a shutdown. */
   void LimitCalls(Instant deadline) { m_latest_deadline = deadline; }
 
@@ -113,6 +119,7 @@
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> m_pending;
   std::uint64_t m_next_id = 1;
   Instant m_latest_deadline = Instant::max();
+  std::size_t m_max_unsent_bytes = std::numeric_limits<std::size_t>::max();
   boost::asio::steady_timer m_probe_timer;
   Instant m_probe_due;
   bool m_stopped = false;
--- a/include/bronzebarrow/node/peer_table.h
+++ b/include/bronzebarrow/node/peer_table.h
@@ -37,6 +37,8 @@
   void Prune(const std::function<bool(const std::string&)>& keep);
   /** @return whether there was a connection to send on. */
   bool Send(const std::string& peer, const wire::FrameT& frame);
+  /** @return bytes that wait to be sent to the peer. */
+  std::size_t UnsentBytes(const std::string& peer) const;
   /** Closes the connection, e.g. to an unresponsive peer, and redials it. */
   void CloseConnection(const std::string& peer);
   void Stop();
--- a/src/base/error_code.cc
+++ b/src/base/error_code.cc
@@ -47,6 +47,7 @@
         "the pool is not known",
         "the request is malformed",
         "the request is larger than allowed",
+        "the document holds more than allowed",
         "the request names no plan",
         "the plan is not defined",
         "the deadline is missing or not a positive number of milliseconds",
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -4,15 +4,6 @@
 #include <algorithm>
 
 namespace bronzebarrow::jobs {
-namespace {
-
-// Limits on one job, so that a single submission cannot exhaust the memory of
-// the control members. The widest step in use has about 100 tasks.
-constexpr std::size_t kMaxSteps = 1000;
-constexpr std::size_t kMaxTasks = 20'000;
-
-}  // namespace
-
 bool Occurrence::IsDone() const {
   return std::all_of(m_steps.begin(), m_steps.end(),
                      [](const StepState& step) { return step.IsDone(); });
--- /dev/null
+++ b/src/jobs/job_memory.cc
@@ -0,0 +1,61 @@
+// Sums of the parts of a specification.
+#include "bronzebarrow/jobs/job_memory.h"
+
+#include "bronzebarrow/jobs/job.h"
+
+namespace bronzebarrow::jobs {
+namespace {
+
+// Header and rounding of a block of the allocator.
+constexpr std::size_t kBlockBytes = 32;
+
+}  // namespace
+
+std::size_t SpecBytes(const wire::JobSpecT& spec) {
+  std::size_t bytes = sizeof(wire::JobSpecT) + spec.spec.capacity();
+  for (const auto& step : spec.steps) {
+    bytes += sizeof(step) + sizeof(wire::StepSpecT) + kBlockBytes +
+             step->depends_on.capacity() * sizeof(std::uint32_t) +
+             step->required_label.capacity() + step->data_rack.capacity() +
+             step->image.capacity();
+  }
+  return bytes;
+}
+
+std::size_t OccurrenceBytes(const wire::JobSpecT& spec) {
+  std::size_t bytes = sizeof(Occurrence);
+  for (const auto& step : spec.steps) {
+    bytes += sizeof(StepState) + kBlockBytes + step->count * kTaskBytes;
+  }
+  return bytes;
+}
+
+std::size_t CallBytes(const wire::JobSpecT& spec) {
+  // The frame is no larger than the objects that it holds.
+  return 2 * SpecBytes(spec);
+}
+
+std::size_t StoredBytes(const wire::JobSpecT& spec, std::size_t open) {
+  return 2 * SpecBytes(spec) + sizeof(Job) + open * OccurrenceBytes(spec);
+}
+
+void JobMemory::Set(JobId job, std::size_t bytes) {
+  std::size_t& counted = m_bytes_by_job[job];
+  m_bytes = m_bytes - counted + bytes;
+  counted = bytes;
+}
+
+void JobMemory::Remove(JobId job) {
+  const auto found = m_bytes_by_job.find(job);
+  if (found != m_bytes_by_job.end()) {
+    m_bytes -= found->second;
+    m_bytes_by_job.erase(found);
+  }
+}
+
+void JobMemory::Clear() {
+  m_bytes_by_job.clear();
+  m_bytes = 0;
+}
+
+}  // namespace bronzebarrow::jobs
--- a/src/net/frame_dialer.cc
+++ b/src/net/frame_dialer.cc
@@ -60,6 +60,11 @@
   return true;
 }
 
+std::size_t FrameDialer::unsent_bytes() const {
+  const std::lock_guard lock(m_mutex);
+  return m_connection ? m_connection->unsent_bytes() : 0;
+}
+
 asio::awaitable<FrameConnectionPtr> FrameDialer::Connect() {
   auto socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
   asio::steady_timer timeout(m_executor, kConnectTimeout);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -34,6 +34,10 @@
 // A request that is refused because too much is held may return after this.
 constexpr const char* kRetryAfterSeconds = "1";
 
+// A response that does not fit into memory is sent nevertheless if it is as
+// small as a refusal.
+constexpr std::size_t kSmallResponseBytes = 1024;
+
 bool IsTooLarge(const beast::error_code& error) {
   return error == http::error::body_limit ||
          error == http::error::header_limit ||
@@ -66,14 +70,6 @@
   }
 }
 
-HttpResponse MakeOverloadedResponse() {
-  HttpResponse response =
-      MakeErrorResponse(http::status::service_unavailable,
-                        ErrorCode::kQueueFull, "too many requests are read");
-  response.set(http::field::retry_after, kRetryAfterSeconds);
-  return response;
-}
-
 }  // namespace
 
 HttpResponse MakeResponse(http::status status, const char* content_type,
@@ -96,9 +92,29 @@
                       boost::json::serialize(body) + "\n");
 }
 
+HttpResponse MakeOverloadedResponse() {
+  HttpResponse response =
+      MakeErrorResponse(http::status::service_unavailable,
+                        ErrorCode::kQueueFull, "too many requests are held");
+  response.set(http::field::retry_after, kRetryAfterSeconds);
+  return response;
+}
+
 Result<std::shared_ptr<HttpServer>> HttpServer::Listen(
     asio::any_io_executor executor, const Address& address, Handler handler,
     HttpServerLimits limits) {
+  return ListenReserving(
+      executor, address,
+      [handler = std::move(handler)](const HttpRequest& request,
+                                     RequestMemory&) {
+        return handler(request);
+      },
+      limits);
+}
+
+Result<std::shared_ptr<HttpServer>> HttpServer::ListenReserving(
+    asio::any_io_executor executor, const Address& address,
+    ReservingHandler handler, HttpServerLimits limits) {
   auto server = std::make_shared<HttpServer>(limits);
   server->m_executor = executor;
   server->m_handler = std::move(handler);
@@ -294,6 +310,24 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<HttpResponse> HttpServer::Handle(Connection& connection,
+                                                 const HttpRequest& request,
+                                                 std::size_t held) {
+  RequestMemory memory([this, &connection, held](std::size_t bytes) {
+    return SetBytes(connection, held + bytes);
+  });
+  HttpResponse response;
+  try {
+    response = co_await m_handler(request, memory);
+  } catch (const std::exception& exception) {
+    response = MakeErrorResponse(http::status::internal_server_error,
+                                 ErrorCode::kInternal, exception.what());
+  }
+  response.version(request.version());
+  response.keep_alive(request.keep_alive() && !m_stopping);
+  co_return response;
+}
+
 asio::awaitable<void> HttpServer::Serve(std::shared_ptr<HttpServer> self,
                                         asio::ip::tcp::socket socket) {
   boost::system::error_code ignored;
@@ -320,19 +354,21 @@
       self->SetState(*connection, buffer.size() > 0
                                       ? ConnectionState::kServingAhead
                                       : ConnectionState::kServing);
-      try {
-        response = co_await self->m_handler(*request);
-      } catch (const std::exception& exception) {
-        response = MakeErrorResponse(http::status::internal_server_error,
-                                     ErrorCode::kInternal, exception.what());
-      }
-      response->version(request->version());
-      response->keep_alive(request->keep_alive() && !self->m_stopping);
+      response =
+          co_await self->Handle(*connection, *request,
+                                buffer.capacity() + request->body().capacity());
       request.reset();
     }
     response->prepare_payload();
     self->SetState(*connection, ConnectionState::kWriting);
-    self->SetBytes(*connection, buffer.capacity() + response->body().size());
+    if (!self->SetBytes(*connection,
+                        buffer.capacity() + response->body().size())) {
+      if (response->body().size() > kSmallResponseBytes) {
+        response = MakeOverloadedResponse();
+        response->prepare_payload();
+      }
+      response->keep_alive(false);
+    }
     stream.expires_after(kWriteTimeout);
     beast::error_code error;
     co_await http::async_write(
--- a/src/node/leader_link.cc
+++ b/src/node/leader_link.cc
@@ -238,6 +238,10 @@
     const std::string leader = m_leader;
     pending->m_reply.reset();
     pending->m_peer = leader;
+    if (m_peers.UnsentBytes(leader) > m_max_unsent_bytes) {
+      result.text = "the link to the leader is full";
+      break;
+    }
     wait_ms = WaitMillis(deadline - Now());
     const bool sent = !leader.empty() && m_peers.Send(leader, frame);
     if (!sent) {
--- a/src/node/peer_table.cc
+++ b/src/node/peer_table.cc
@@ -45,6 +45,11 @@
   return dialer != m_dialers.end() && dialer->second->Send(frame);
 }
 
+std::size_t PeerTable::UnsentBytes(const std::string& peer) const {
+  const auto dialer = m_dialers.find(peer);
+  return dialer == m_dialers.end() ? 0 : dialer->second->unsent_bytes();
+}
+
 void PeerTable::CloseConnection(const std::string& peer) {
   const auto dialer = m_dialers.find(peer);
   if (dialer != m_dialers.end()) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(StatusOfAGatewayIsNoAnswerOfTheRunner);
   CPPUNIT_TEST(RunListOfAnUnnamedIncarnationIsInvalid);
   CPPUNIT_TEST(ReadsSettings);
+  CPPUNIT_TEST(FieldsOverTheirLimitAreTypedErrors);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -344,6 +345,56 @@
         runs::AnswerKind::kOk);
   }
 
+  // Guards against fields that are stored by every member and that no page
+  // allows. The largest allowed ones are read.
+  void FieldsOverTheirLimitAreTypedErrors() {
+    const auto job = [](std::size_t spec, std::size_t steps,
+                        std::size_t label) {
+      std::string body = R"({"spec":")" + std::string(spec, 's') +
+                         R"(","steps":[{"count":1,"required_label":")" +
+                         std::string(label, 'l') + R"("})";
+      for (std::size_t i = 1; i < steps; ++i) {
+        body += R"(,{"count":1})";
+      }
+      return body + "]}";
+    };
+    const auto code = [](const std::string& body) {
+      const auto outcome =
+          CaptureResult<wire::JobSpecT>([&] { return ReadJob(kId, body); });
+      const auto* const failure = std::get_if<Failure>(&outcome);
+      return failure == nullptr ? ErrorCode::kOk : failure->m_code;
+    };
+    CPPUNIT_ASSERT(code(job(4000, 1000, 1024)) == ErrorCode::kOk);
+    CPPUNIT_ASSERT(code(job(4001, 1, 1)) == ErrorCode::kDocumentTooComplex);
+    CPPUNIT_ASSERT(code(job(1, 1001, 1)) == ErrorCode::kDocumentTooComplex);
+    CPPUNIT_ASSERT(code(job(1, 1, 1025)) == ErrorCode::kDocumentTooComplex);
+    const auto heartbeat = [](std::size_t labels, std::size_t pool) {
+      std::string body = R"({"service":")" + std::string(pool, 'p') +
+                         R"(","address":"10.0.0.1:80","state":"ready",)" +
+                         R"("labels":["a")";
+      for (std::size_t i = 1; i < labels; ++i) {
+        body += R"(,"a")";
+      }
+      const auto outcome = CaptureResult<wire::RunnerRecordT>(
+          [&] { return ReadHeartbeat("i-1", body + "]}", kNowMs); });
+      return std::holds_alternative<wire::RunnerRecordT>(outcome);
+    };
+    CPPUNIT_ASSERT(heartbeat(64, 1024));
+    CPPUNIT_ASSERT(!heartbeat(65, 1));
+    CPPUNIT_ASSERT(!heartbeat(1, 1025));
+    const auto wave = [](std::size_t machines) {
+      std::string body = R"({"wave":1,"machines":["m")";
+      for (std::size_t i = 1; i < machines; ++i) {
+        body += R"(,"m")";
+      }
+      const auto outcome = CaptureResult<wire::StartUpkeepT>(
+          [&] { return ReadWave(body + "]}", kNowMs); });
+      return std::holds_alternative<wire::StartUpkeepT>(outcome);
+    };
+    CPPUNIT_ASSERT(wave(20'000));
+    CPPUNIT_ASSERT(!wave(20'001));
+  }
+
   void ReadsSettings() {
     const ScratchFolder folder;
     const std::string path = folder.path() + "/node.yaml";
