Bound the bytes that arrive behind a request that is served

Callers saw nothing; 1,200 clients that sent a request and a megabyte behind it left 147 MB in the kernel, beside a process of 14 MB. Such bytes count as the process's memory, and the number of connections followed from the descriptors only, each with a receive buffer of 128 KiB.

As the crowd then fills all connections with requests that are served, those with bytes in the kernel are looked for when all are served, and give way.

--- a/include/bronzebarrow/net/acceptor.h
+++ b/include/bronzebarrow/net/acceptor.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -20,10 +21,11 @@
   /**
    * Binds and listens. Calls `on_socket` for each new connection, whose
    * executor is a new strand.
+   * @param receive_buffer_bytes SO_RCVBUF of the connections; 0: the system's
    */
   static Result<std::shared_ptr<Acceptor>> Listen(
       boost::asio::any_io_executor executor, const Address& address,
-      OnSocket on_socket);
+      OnSocket on_socket, std::size_t receive_buffer_bytes = 0);
 
   Acceptor(boost::asio::any_io_executor executor, OnSocket on_socket);
   void Close();
--- a/include/bronzebarrow/net/http_server.h
+++ b/include/bronzebarrow/net/http_server.h
@@ -53,6 +53,8 @@
    * and of all responses that are written.
    */
   std::size_t m_max_buffered_bytes = 64 << 20;
+  /** SO_RCVBUF of each connection; 0: the system's. */
+  std::size_t m_receive_buffer_bytes = 0;
 };
 
 class HttpServer : public std::enable_shared_from_this<HttpServer> {
@@ -102,7 +104,8 @@
         : m_stream(std::move(socket)) {}
     boost::beast::tcp_stream m_stream;
     ConnectionTable::Id m_id = 0;
-    bool m_idle = false;  // No byte of a request was read yet.
+    bool m_idle = false;       // No byte of a request was read yet.
+    bool m_is_served = false;  // The handler has its request.
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -127,6 +130,11 @@
                                               std::size_t held);
   // Returns false if there is no place for the connection.
   bool AddConnection(const ConnectionPtr& connection);
+  // The same, after a look for served connections that may give way.
+  boost::asio::awaitable<bool> AdmitConnection(ConnectionPtr connection);
+  // Looks which served connections have sent more than their request. Returns
+  // false if the last look was a short time ago.
+  bool FindClientsAhead();
   void SetState(const Connection& connection, ConnectionState state);
   // Returns false if the connection must end because too much is held.
   bool SetBytes(const Connection& connection, std::size_t bytes);
@@ -143,6 +151,7 @@
   std::atomic<int> m_active{0};
   std::mutex m_mutex;  // Guards the members below; a leaf lock.
   HttpServerLimits m_limits;
+  Instant m_next_look;  // When FindClientsAhead may look again.
   ConnectionTable m_table;
   // Connections whose coroutine has not ended; may be gone from m_table.
   std::map<ConnectionTable::Id, ConnectionPtr> m_connections;
--- a/src/net/acceptor.cc
+++ b/src/net/acceptor.cc
@@ -24,14 +24,20 @@
       m_on_socket(std::move(on_socket)) {}
 
 Result<std::shared_ptr<Acceptor>> Acceptor::Listen(
-    asio::any_io_executor executor, const Address& address,
-    OnSocket on_socket) {
+    asio::any_io_executor executor, const Address& address, OnSocket on_socket,
+    std::size_t receive_buffer_bytes) {
   auto acceptor = std::make_shared<Acceptor>(executor, std::move(on_socket));
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.m_host),
                                          address.m_port);
   try {
     acceptor->m_acceptor.open(endpoint.protocol());
     acceptor->m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    if (receive_buffer_bytes > 0) {
+      // Connections inherit it. Set later, it would not bound the window that
+      // they have announced by then.
+      acceptor->m_acceptor.set_option(asio::socket_base::receive_buffer_size(
+          static_cast<int>(receive_buffer_bytes)));
+    }
     acceptor->m_acceptor.bind(endpoint);
     acceptor->m_acceptor.listen();
   } catch (const boost::system::system_error& error) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -28,6 +28,8 @@
 
 constexpr Duration kWriteTimeout = Millis(30'000);
 constexpr Duration kDrainPollInterval = Millis(10);
+// At the limit on connections, between looks at those that are served.
+constexpr Duration kLookInterval = Millis(50);
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
 // Beyond the largest head, so that a body is read in pieces of this size.
 constexpr std::size_t kBodyPieceBytes = 64 * 1024;
@@ -119,16 +121,19 @@
   server->m_executor = executor;
   server->m_handler = std::move(handler);
   const std::weak_ptr<HttpServer> weak = server;
-  BOOST_LEAF_AUTO(
-      acceptor,
-      Acceptor::Listen(executor, address, [weak](asio::ip::tcp::socket socket) {
-        const auto self = weak.lock();
-        if (!self) {
-          return;
-        }
-        auto strand = socket.get_executor();
-        asio::co_spawn(strand, Serve(self, std::move(socket)), asio::detached);
-      }));
+  BOOST_LEAF_AUTO(acceptor, Acceptor::Listen(
+                                executor, address,
+                                [weak](asio::ip::tcp::socket socket) {
+                                  const auto self = weak.lock();
+                                  if (!self) {
+                                    return;
+                                  }
+                                  auto strand = socket.get_executor();
+                                  asio::co_spawn(strand,
+                                                 Serve(self, std::move(socket)),
+                                                 asio::detached);
+                                },
+                                limits.m_receive_buffer_bytes));
   server->m_acceptor = acceptor;
   return server;
 }
@@ -200,6 +205,40 @@
   return is_added;
 }
 
+asio::awaitable<bool> HttpServer::AdmitConnection(ConnectionPtr connection) {
+  if (AddConnection(connection)) {
+    co_return true;
+  }
+  if (!FindClientsAhead()) {
+    co_return false;
+  }
+  // The looks were posted before.
+  co_await asio::post(m_executor, asio::use_awaitable);
+  co_return AddConnection(connection);
+}
+
+// What a client sends while its request is served stays in the kernel, so that
+// it is only known by asking.
+bool HttpServer::FindClientsAhead() {
+  const std::lock_guard lock(m_mutex);
+  const Instant now = Now();
+  if (now < m_next_look) {
+    return false;
+  }
+  m_next_look = now + kLookInterval;
+  for (const auto& [id, connection] : m_connections) {
+    asio::post(connection->m_stream.get_executor(),
+               [self = shared_from_this(), connection = connection] {
+                 boost::system::error_code error;
+                 if (connection->m_is_served &&
+                     connection->m_stream.socket().available(error) > 0) {
+                   self->SetState(*connection, ConnectionState::kServingAhead);
+                 }
+               });
+  }
+  return true;
+}
+
 void HttpServer::Close(const std::vector<ConnectionTable::Id>& ids) {
   for (const ConnectionTable::Id id : ids) {
     const auto found = m_connections.find(id);
@@ -317,12 +356,14 @@
     return SetBytes(connection, held + bytes);
   });
   HttpResponse response;
+  connection.m_is_served = true;
   try {
     response = co_await m_handler(request, memory);
   } catch (const std::exception& exception) {
     response = MakeErrorResponse(http::status::internal_server_error,
                                  ErrorCode::kInternal, exception.what());
   }
+  connection.m_is_served = false;
   response.version(request.version());
   response.keep_alive(request.keep_alive() && !m_stopping);
   co_return response;
@@ -334,7 +375,7 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const auto connection = std::make_shared<Connection>(std::move(socket));
   beast::tcp_stream& stream = connection->m_stream;
-  if (!self->AddConnection(connection)) {
+  if (!co_await self->AdmitConnection(connection)) {
     co_return;
   }
   beast::flat_buffer buffer(kMaxHeaderBytes + kBodyPieceBytes);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(RunListOfAnUnnamedIncarnationIsInvalid);
   CPPUNIT_TEST(ReadsSettings);
   CPPUNIT_TEST(FieldsOverTheirLimitAreTypedErrors);
+  CPPUNIT_TEST(ConnectionsFollowFromMemoryAndDescriptors);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -395,6 +396,19 @@
     CPPUNIT_ASSERT(!wave(20'001));
   }
 
+  // Guards against connections whose receive buffers alone take the memory.
+  void ConnectionsFollowFromMemoryAndDescriptors() {
+    Settings settings;
+    settings.m_max_descriptors = 4096;
+    settings.m_memory_bytes = std::size_t{160} << 20;
+    const auto entry = settings.ToServerLimits(limits::MemoryRole::kEntry);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{640}, entry.m_max_connections);
+    settings.m_memory_bytes = std::size_t{1024} << 20;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1298},
+        settings.ToServerLimits(limits::MemoryRole::kEntry).m_max_connections);
+  }
+
   void ReadsSettings() {
     const ScratchFolder folder;
     const std::string path = folder.path() + "/node.yaml";
