Bound what accepted connections of frames hold

Callers saw nothing; 900 KB of a frame of 1 MiB from each of 500 connections took 561 MB of a member until the check of the first frame. Memory grew with what had arrived, for all connections at a time, and what waited to be sent was bounded by 128 MiB for each connection only.

The first frame of an accepted connection has at most 64 KiB (members and entries ask for a view first, in about a hundred bytes), and a connection starts with a read buffer of 4 KiB. Partial frames and unsent replies of all accepted connections are bounded together; beyond the bound, connections with large ones are closed, the one that has taken longest first.

Peers that send a valid frame first: frame_listener_test.

--- a/include/bronzebarrow/net/frame_connection.h
+++ b/include/bronzebarrow/net/frame_connection.h
@@ -25,6 +25,11 @@
 constexpr std::uint32_t kMaxFrameBytes = 64U << 20;
 /** A connection with more unsent bytes than this is closed as stuck. */
 constexpr std::size_t kMaxUnsentBytes = 128U << 20;
+/**
+ * The first frame of an accepted connection, in bytes. Members and entries ask
+ * for a view first, which takes about a hundred.
+ */
+constexpr std::uint32_t kMaxFirstFrameBytes = 64U << 10;
 /**
  * TCP_USER_TIMEOUT: the longest time that sent bytes may stay unacknowledged
  * by the peer's kernel.
@@ -43,6 +48,15 @@
   using OnReceived = std::function<void(const std::shared_ptr<FrameConnection>&,
                                         ReceivedFrame)>;
   using OnClose = std::function<void(const std::shared_ptr<FrameConnection>&)>;
+  /** Bytes that a connection holds for its peer. */
+  struct Held {
+    std::size_t m_received = 0;  // Of frames that are not complete.
+    std::size_t m_unsent = 0;
+    std::size_t m_memory = 0;  // That both take.
+  };
+  /** Told of each change; returns whether the connection may stay open. */
+  using OnHeld = std::function<bool(const std::shared_ptr<FrameConnection>&,
+                                    const Held& held)>;
 
   explicit FrameConnection(Socket socket);
 
@@ -50,6 +64,11 @@
   void Start(OnFrame on_frame, OnClose on_close);
   /** Like Start, and leaves it to the receiver to unpack frames. */
   void StartReceiving(OnReceived on_received, OnClose on_close);
+  /**
+   * For connections to peers that are not known yet, before StartReceiving:
+   * limits the first frame to kMaxFirstFrameBytes and reports what is held.
+   */
+  void LimitPeer(OnHeld on_held) { m_on_held = std::move(on_held); }
   /** @return bytes that wait to be sent. For callers on the executor. */
   std::size_t unsent_bytes() const { return m_unsent_bytes; }
   /** Frames that are sent while others are being written leave together. */
@@ -67,11 +86,18 @@
    */
   bool HandOver(FrameBuffer& buffer);
   void CloseOnStrand();
+  // Reports what is held; returns false after it closed the connection.
+  bool ReportHeld();
 
   Socket m_socket;
   boost::asio::strand<boost::asio::any_io_executor> m_strand;
   OnReceived m_on_received;
   OnClose m_on_close;
+  OnHeld m_on_held;  // Empty if the peer is known.
+  // As the read buffer, whose owner is the read loop.
+  std::size_t m_received_bytes = 0;
+  std::size_t m_buffer_bytes = 0;
+  bool m_has_frame = false;  // Whether a frame was received.
   std::deque<std::shared_ptr<const std::vector<std::uint8_t>>> m_send_queue;
   std::size_t m_unsent_bytes = 0;  // Sum of the sizes in m_send_queue.
   bool m_write_loop_running = false;
--- a/include/bronzebarrow/net/frame_listener.h
+++ b/include/bronzebarrow/net/frame_listener.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "bronzebarrow/base/address.h"
 #include "bronzebarrow/base/failure.h"
@@ -17,12 +18,22 @@
 
 namespace bronzebarrow::net {
 
+struct FrameListenerLimits {
+  std::size_t m_max_connections = 500;
+  /** Of all connections: frames that are received or not sent yet. */
+  std::size_t m_max_bytes = std::size_t{256} << 20;
+  /** SO_RCVBUF of each connection; 0: the system's. */
+  std::size_t m_receive_buffer_bytes = 0;
+};
+
 /**
  * A peer sends its first frame as soon as it is connected. Connections without
  * one at several checks are closed; at the limit, the oldest of them give way
  * to new ones. Checks are counted instead of time, because frames that arrived
- * while this process did not run are read after the first of them. Runs on one
- * executor that handles one event at a time.
+ * while this process did not run are read after the first of them. Beyond the
+ * limit on bytes, connections that send a large frame or do not read theirs are
+ * closed, the one that has taken longest first. Runs on one executor that
+ * handles one event at a time.
  */
 class FrameListener : public std::enable_shared_from_this<FrameListener> {
  public:
@@ -31,25 +42,35 @@
 
   static Result<std::shared_ptr<FrameListener>> Listen(
       boost::asio::any_io_executor executor, const Address& address,
-      std::size_t max_connections, FrameConnection::OnReceived on_received,
+      FrameListenerLimits limits, FrameConnection::OnReceived on_received,
       FrameConnection::OnClose on_close);
 
   FrameListener(boost::asio::any_io_executor executor,
-                std::size_t max_connections,
+                FrameListenerLimits limits,
                 FrameConnection::OnReceived on_received,
                 FrameConnection::OnClose on_close);
 
  private:
+  struct Peer {
+    ConnectionTable::Id m_id = 0;
+    // Checks that are left until its first frame; 0 once it has sent one.
+    int m_checks_left = kChecksForFirstFrame;
+    ConnectionState m_state = ConnectionState::kIdle;  // As in m_table.
+  };
+
+  void Close(const std::vector<ConnectionTable::Id>& ids);
+  void OnFirstFrame(const FrameConnectionPtr& from);
+  bool OnHeld(const FrameConnectionPtr& from,
+              const FrameConnection::Held& held);
+  void SetState(Peer& peer, ConnectionState state);
   void Accept(FrameConnection::Socket socket);
   void Remove(const FrameConnectionPtr& connection);
   void ScheduleCheck();
 
   ConnectionTable m_table;
-  // Connections that are in m_table, and the checks that are left to those that
-  // have sent no frame.
+  // Connections that are open, by their id in m_table, and the other way round.
   std::map<ConnectionTable::Id, FrameConnectionPtr> m_connections;
-  std::map<FrameConnectionPtr, ConnectionTable::Id> m_ids;
-  std::map<FrameConnectionPtr, int> m_checks_left;
+  std::map<FrameConnectionPtr, Peer> m_peers;
   FrameConnection::OnReceived m_on_received;
   FrameConnection::OnClose m_on_close;
   boost::asio::steady_timer m_check_timer;
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -49,7 +49,7 @@
   RelayOptions m_relays;
   bool m_keeps_gaps = false;  // As WorkCoreOptions::m_keeps_gaps.
   WorkInboxOptions m_inbox;
-  std::size_t m_max_frame_connections = 500;  // From members and entries.
+  net::FrameListenerLimits m_frames;  // From members and entries.
   // Connections to runners, the platform and the adviser.
   net::TargetPoolOptions m_connection_options;
 };
--- a/src/net/frame_connection.cc
+++ b/src/net/frame_connection.cc
@@ -76,6 +76,9 @@
       return;
     }
     self->m_send_queue.push_back(bytes);
+    if (!self->ReportHeld()) {
+      return;
+    }
     if (!self->m_write_loop_running) {
       self->m_write_loop_running = true;
       // Posted, so that frames sent in the same event are in the queue by then.
@@ -105,10 +108,21 @@
   }
 }
 
+bool FrameConnection::ReportHeld() {
+  if (m_on_held &&
+      !m_on_held(shared_from_this(), {m_received_bytes, m_unsent_bytes,
+                                      m_buffer_bytes + m_unsent_bytes})) {
+    CloseOnStrand();
+    return false;
+  }
+  return true;
+}
+
 bool FrameConnection::HandOver(FrameBuffer& buffer) {
   while (!m_closed) {
     const std::uint32_t length = buffer.NextLength().value_or(0);
-    if (length > kMaxFrameBytes) {
+    const bool is_first = m_on_held && !m_has_frame;
+    if (length > (is_first ? kMaxFirstFrameBytes : kMaxFrameBytes)) {
       EventLine(Event::kFrameRefused, Severity::kWarning)
           .Field("code", ErrorCode::kFrameTooLarge)
           .Field("bytes", length);
@@ -126,6 +140,7 @@
           .Field("bytes", length);
       return false;
     }
+    m_has_frame = true;
     m_on_received(shared_from_this(), std::move(*frame));
   }
   return false;
@@ -133,8 +148,10 @@
 
 asio::awaitable<void> FrameConnection::ReadLoop() {
   const auto self = shared_from_this();
-  FrameBuffer buffer;
-  do {
+  FrameBuffer buffer(m_on_held ? FrameBuffer::kFirstReadBytes
+                               : FrameBuffer::kReadBytes);
+  bool is_open = true;
+  while (is_open) {
     const std::span<std::uint8_t> room = buffer.Room();
     boost::system::error_code error;
     const std::size_t count = co_await m_socket.async_read_some(
@@ -144,7 +161,11 @@
       break;
     }
     buffer.OnRead(count);
-  } while (HandOver(buffer));
+    m_buffer_bytes = buffer.capacity();
+    is_open = HandOver(buffer);
+    m_received_bytes = buffer.unread();
+    is_open = is_open && ReportHeld();
+  }
   CloseOnStrand();
 }
 
@@ -174,6 +195,9 @@
         m_send_queue.begin(),
         m_send_queue.begin() + static_cast<std::ptrdiff_t>(count));
     m_unsent_bytes -= written;
+    if (!ReportHeld()) {
+      break;
+    }
   }
   m_write_loop_running = false;
 }
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -165,17 +165,16 @@
 
 Result<void> MemberNode::Start() {
   const auto self = shared_from_this();
-  BOOST_LEAF_ASSIGN(
-      m_listener,
-      net::FrameListener::Listen(
-          m_executor, m_settings.m_listen, m_settings.m_max_frame_connections,
-          [self](const net::FrameConnectionPtr& from,
-                 net::ReceivedFrame frame) {
-            self->OnFrame(from, std::move(frame));
-          },
-          [self](const net::FrameConnectionPtr& from) {
-            self->m_watchers.erase(from);
-          }));
+  BOOST_LEAF_ASSIGN(m_listener,
+                    net::FrameListener::Listen(
+                        m_executor, m_settings.m_listen, m_settings.m_frames,
+                        [self](const net::FrameConnectionPtr& from,
+                               net::ReceivedFrame frame) {
+                          self->OnFrame(from, std::move(frame));
+                        },
+                        [self](const net::FrameConnectionPtr& from) {
+                          self->m_watchers.erase(from);
+                        }));
   m_leader_link.SetObservers(
       [this](const std::string& member, wire::FrameT& frame) {
         OnMemberFrame(member, frame);
