Bound the memory of accepted jobs

Callers lost the whole system: jobs of sixty bytes with 20,000 tasks each took 899 MB in each of three members, and jobs whose occurrences were all due over 6.8 GB. The members store each task, all of them end at once, and again when they start, as the jobs are in the log. Admission looks at processor time: a task without cpu or estimate costs none, and timed or lasting jobs are always accepted.

JobRoom counts what is stored and proposed. A job that finds no memory is refused with 429 before it is proposed, and an occurrence is opened later.

--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bronzebarrow/jobs/job.h"
+#include "bronzebarrow/jobs/job_memory.h"
 #include "bronzebarrow/jobs/queue_table.h"
 #include "bronzebarrow/jobs/runner.h"
 #include "bronzebarrow/jobs/upkeep.h"
@@ -98,6 +99,8 @@
   std::string FindIndexError() const;
   /** @return the queue's active jobs that never had a run assigned. */
   std::uint32_t WaitingCount(const std::string& queue) const;
+  /** @return the bytes of all jobs, as StoredBytes. */
+  std::size_t job_bytes() const { return m_job_memory.bytes(); }
 
   /**
    * Epoch of the owner of all pools, its fencing token: the index of the log
@@ -179,6 +182,8 @@
   void RemoveFromPoolIndex(const Runner& runner);
   // Updates the job's entries in m_startable and m_periodic.
   void UpdateJobIndexes(const Job& job);
+  // Counts the job with its open occurrences.
+  void UpdateJobMemory(const Job& job);
   // Marks the job as started, once.
   void MarkStarted(Job& job);
   // Adds the runner to m_runners_by_machine under the machine of its record, or
@@ -211,6 +216,7 @@
   organisations::Usage m_usage;
   // By queue: active jobs that never had a run assigned.
   std::map<std::string, std::uint32_t> m_unstarted;
+  JobMemory m_job_memory;  // Of m_jobs.
   Runners m_runners;
   // By pool; no entry is empty. Derived from m_runners.
   std::map<std::string, RunnerIndex> m_runners_by_pool;
--- a/include/bronzebarrow/node/member_node.h
+++ b/include/bronzebarrow/node/member_node.h
@@ -50,6 +50,7 @@
   bool m_keeps_gaps = false;  // As WorkCoreOptions::m_keeps_gaps.
   WorkInboxOptions m_inbox;
   net::FrameListenerLimits m_frames;  // From members and entries.
+  std::size_t m_max_job_bytes = 0;    // As WorkCoreOptions::m_max_job_bytes.
   // Connections to runners, the platform and the adviser.
   net::TargetPoolOptions m_connection_options;
 };
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -19,6 +19,7 @@
 #include "bronzebarrow/consensus.h"
 #include "bronzebarrow/jobs.h"
 #include "bronzebarrow/node/advice_book.h"
+#include "bronzebarrow/node/job_room.h"
 #include "bronzebarrow/node/machine_planner.h"
 #include "bronzebarrow/placement.h"
 #include "bronzebarrow/runs.h"
@@ -45,6 +46,8 @@
   Duration m_ended_job_retention = Millis(150'000);
   /** Whether placement keeps room for large tasks beside small ones. */
   bool m_keeps_gaps = false;
+  /** Of all jobs, as jobs::StoredBytes; 0: no limit. */
+  std::size_t m_max_job_bytes = 0;
   /** Token of the first command that this process proposes. */
   std::uint64_t m_first_token = 1;
 };
@@ -299,6 +302,7 @@
   std::set<std::uint64_t> m_pending_assignments;
   // Jobs whose OpenOccurrences command is not yet applied.
   std::set<jobs::JobId> m_pending_openings;
+  JobRoom m_job_room;
   std::map<std::string, Heartbeat> m_heartbeats;  // By runner.
   // By runner; no entry is empty.
   std::map<std::string, std::vector<PendingLeave>> m_pending_leaves;
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -137,6 +137,7 @@
   m_startable.clear();
   m_periodic.clear();
   m_unstarted.clear();
+  m_job_memory.Clear();
   m_suspects.clear();
   m_usage.clear();
   m_runners.clear();
@@ -168,6 +169,7 @@
     for (const auto& occurrence : job_image->occurrences) {
       job.m_occurrences[occurrence->number] = FromImage(*occurrence);
     }
+    UpdateJobMemory(job);
     if (job.m_state == JobState::kActive) {
       m_acceptance_numbers[id] = m_next_acceptance_number;
       m_active[m_next_acceptance_number++] = id;
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -134,6 +134,10 @@
   }
 }
 
+void WorkState::UpdateJobMemory(const Job& job) {
+  m_job_memory.Set(job.m_id, StoredBytes(job.m_spec, job.m_occurrences.size()));
+}
+
 void WorkState::MarkStarted(Job& job) {
   if (!job.m_started) {
     job.m_started = true;
@@ -155,6 +159,13 @@
     }
     unstarted[job.m_queue] += job.m_started ? 0 : 1;
   }
+  std::size_t job_bytes = 0;
+  for (const auto& [id, job] : m_jobs) {
+    job_bytes += StoredBytes(job.m_spec, job.m_occurrences.size());
+  }
+  if (job_bytes != m_job_memory.bytes()) {
+    return "memory of jobs";
+  }
   if (startable != m_startable) {
     return "startable jobs";
   }
@@ -300,6 +311,7 @@
   m_active[m_next_acceptance_number++] = *id;
   ++m_unstarted[job.m_queue];
   UpdateJobIndexes(job);
+  UpdateJobMemory(job);
   applied.m_job = *id;
   applied.m_changed = true;
 }
@@ -529,6 +541,7 @@
     EndJob(job, JobState::kCompleted, applied);
   } else {
     job.m_occurrences.erase(occurrence);
+    UpdateJobMemory(job);
   }
 }
 
@@ -608,6 +621,7 @@
     applied.m_changed = true;
   }
   UpdateJobIndexes(job->second);
+  UpdateJobMemory(job->second);
 }
 
 void WorkState::StartUpkeep(const wire::WorkBodyUnion& body,
@@ -676,6 +690,7 @@
     const auto job = m_jobs.find(id);
     if (job != m_jobs.end() && job->second.m_state != JobState::kActive) {
       m_jobs.erase(job);
+      m_job_memory.Remove(id);
       applied.m_changed = true;
     }
   }
--- a/src/node/member_node.cc
+++ b/src/node/member_node.cc
@@ -101,6 +101,7 @@
   options.m_replica.m_min_voters = 2 * settings.m_tolerated_losses + 1;
   options.m_machines = settings.m_machines;
   options.m_keeps_gaps = settings.m_keeps_gaps;
+  options.m_max_job_bytes = settings.m_max_job_bytes;
   options.m_first_token = static_cast<std::uint64_t>(random()) << 32;
   return options;
 }
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -18,6 +18,9 @@
 // One in this many repeated heartbeats still reaches the leader, which compares
 // the sequence numbers of delayed ones with it.
 constexpr std::uint64_t kHeartbeatsPerForwarded = 4;
+// When a caller may return whose job found no memory: jobs end all the time,
+// and are forgotten two minutes after their end.
+constexpr std::uint32_t kNoRoomRetryMs = 5000;
 
 bool IsUnchanged(const wire::RunnerRecordT& record,
                  const wire::RunnerRecordT& reported) {
@@ -192,6 +195,18 @@
     }
     return;
   }
+  const std::size_t job_bytes = jobs::StoredBytes(*submit.job, 1);
+  if (!m_job_room.FitsJob(m_state.job_bytes(), job_bytes)) {
+    EventLine(Event::kJobRefused, Severity::kWarning)
+        .Field("job", submit.job->id)
+        .Field("queue", queue->name)
+        .Field("why", "no memory for the job")
+        .Field("bytes", job_bytes)
+        .Field("stored", m_state.job_bytes());
+    Reply(source, call_id, wire::CallOutcome::Refused,
+          "the memory for jobs is used up", kNoRoomRetryMs);
+    return;
+  }
   jobs::Job job;
   job.m_id = *id;
   job.m_queue = queue->name;
@@ -233,6 +248,7 @@
   command.Set(std::move(accept));
   const std::uint64_t token = AddCommand(std::move(command));
   m_pending_submits[*id] = {token, caller.m_organisation};
+  m_job_room.Propose(*id, job_bytes);
   AddPendingCall(token, source, call_id, wire::WorkBody::AcceptJob);
 }
 
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -37,6 +37,7 @@
       m_admission(m_options.m_admission),
       m_advice_cache(m_state),
       m_moment(moment),
+      m_job_room(m_options.m_max_job_bytes),
       m_next_token(m_options.m_first_token) {
   m_dispatcher.SetDownAsRequested([this](const jobs::Runner& runner) {
     return m_machine_planner.IsDownAsRequested(runner);
@@ -371,6 +372,7 @@
   m_pending_leaves.clear();
   m_commands.clear();
   m_pending_submits.clear();
+  m_job_room.Clear();
   m_pending_assignments.clear();
   m_pending_openings.clear();
   m_heartbeats.clear();
@@ -443,8 +445,10 @@
     }
     if (applied.m_kind == wire::WorkBody::AcceptJob) {
       m_pending_submits.erase(applied.m_job);
+      m_job_room.OnApplied(applied.m_job);
     } else if (applied.m_kind == wire::WorkBody::OpenOccurrences) {
       m_pending_openings.erase(applied.m_job);
+      m_job_room.OnApplied(applied.m_job);
     }
     for (const jobs::RunKey& run : applied.m_given_up) {
       LogGivenUp(run);
@@ -627,16 +631,24 @@
   for (const auto& [number, periodic] : m_state.periodic()) {
     const jobs::Job& job = *periodic;
     const jobs::JobId id = job.m_id;
-    if (m_pending_openings.contains(id)) {
+    if (m_pending_openings.contains(id) ||
+        job.DueMs(job.m_opened) > m_moment.m_wall_ms) {
       continue;
     }
+    const std::size_t each = jobs::OccurrenceBytes(job.m_spec);
+    const std::size_t unfinished = job.m_occurrences.size() * each;
     std::uint32_t due = job.m_opened;
+    std::size_t added = 0;
     while (due < job.m_spec.times &&
            due < job.m_opened + kMaxOccurrencesPerOpening &&
-           job.DueMs(due) <= m_moment.m_wall_ms) {
+           job.DueMs(due) <= m_moment.m_wall_ms &&
+           m_job_room.FitsOccurrences(m_state.job_bytes(), unfinished + added,
+                                      added + each)) {
       ++due;
+      added += each;
     }
     if (due > job.m_opened) {
+      m_job_room.Propose(id, added);
       wire::OpenOccurrencesT open;
       open.job = id;
       open.up_to = due;
