Tell heads over their limits from bodies, and deliver the refusal

A head over the limit got 413, where HTTP has 431, or 414 for a request line; and no answer at all when the client had sent on: closing with unread bytes resets the connection, which overtakes the response.

The status follows from what was parsed. After a response that ends the connection, what the client still sends is read and dropped for up to a second; such a connection counts and gives way like one that does not read its response.

--- a/include/bronzebarrow/net/http_server.h
+++ b/include/bronzebarrow/net/http_server.h
@@ -128,6 +128,10 @@
   boost::asio::awaitable<HttpResponse> Handle(Connection& connection,
                                               const HttpRequest& request,
                                               std::size_t held);
+  // Waits until the client has read the last response and closes: bytes that
+  // are not read when the connection closes would reset it, and the response
+  // would be lost.
+  static boost::asio::awaitable<void> Linger(Connection& connection);
   // Returns false if there is no place for the connection.
   bool AddConnection(const ConnectionPtr& connection);
   // The same, after a look for served connections that may give way.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -36,14 +36,32 @@
 // A request that is refused because too much is held may return after this.
 constexpr const char* kRetryAfterSeconds = "1";
 
+// Limits of the wait for a client to read the last response and to close.
+constexpr Duration kLingerTimeout = Millis(1000);
+constexpr std::size_t kMaxLingerBytes = 4 << 20;
+constexpr std::size_t kLingerReadBytes = 16 * 1024;
 // A response that does not fit into memory is sent nevertheless if it is as
 // small as a refusal.
 constexpr std::size_t kSmallResponseBytes = 1024;
 
-bool IsTooLarge(const beast::error_code& error) {
-  return error == http::error::body_limit ||
-         error == http::error::header_limit ||
-         error == http::error::buffer_overflow;
+// By the limit that a request exceeds; unknown if it exceeds none. Bytes that
+// are not parsed begin with the request line, unless it was parsed.
+http::status TooLargeStatus(const beast::error_code& error,
+                            const RequestParser& parser,
+                            std::string_view unparsed) {
+  const bool is_too_large = error == http::error::header_limit ||
+                            error == http::error::buffer_overflow;
+  if (error == http::error::body_limit ||
+      (is_too_large && parser.is_header_done())) {
+    return http::status::payload_too_large;
+  }
+  if (!is_too_large) {
+    return http::status::unknown;
+  }
+  const bool has_request_line = !parser.get().target().empty() ||
+                                unparsed.find('\n') != std::string_view::npos;
+  return has_request_line ? http::status::request_header_fields_too_large
+                          : http::status::uri_too_long;
 }
 
 bool IsProtocolError(const beast::error_code& error) {
@@ -54,14 +72,15 @@
 }
 
 // Response to a request that could not be read; closes the connection.
-HttpResponse MakeReadErrorResponse(const beast::error_code& error) {
-  HttpResponse response =
-      IsTooLarge(error)
-          ? MakeErrorResponse(http::status::payload_too_large,
-                              ErrorCode::kRequestTooLarge, error.message())
-          : MakeErrorResponse(http::status::bad_request,
-                              ErrorCode::kRequestMalformed, error.message());
-  return response;
+HttpResponse MakeReadErrorResponse(const beast::error_code& error,
+                                   const RequestParser& parser,
+                                   std::string_view unparsed) {
+  const http::status too_large = TooLargeStatus(error, parser, unparsed);
+  return too_large == http::status::unknown
+             ? MakeErrorResponse(http::status::bad_request,
+                                 ErrorCode::kRequestMalformed, error.message())
+             : MakeErrorResponse(too_large, ErrorCode::kRequestTooLarge,
+                                 error.message());
 }
 
 void LogClosed(std::size_t connections, const char* limit) {
@@ -344,7 +363,10 @@
     co_return std::nullopt;
   }
   if (IsProtocolError(error)) {
-    co_return MakeReadErrorResponse(error);
+    const auto unparsed = buffer.cdata();
+    co_return MakeReadErrorResponse(
+        error, parser,
+        {static_cast<const char*>(unparsed.data()), unparsed.size()});
   }
   co_return std::nullopt;
 }
@@ -369,6 +391,19 @@
   co_return response;
 }
 
+asio::awaitable<void> HttpServer::Linger(Connection& connection) {
+  beast::tcp_stream& stream = connection.m_stream;
+  stream.expires_after(kLingerTimeout);
+  std::vector<char> discarded(kLingerReadBytes);
+  std::size_t total = 0;
+  boost::system::error_code error;
+  while (!error && total < kMaxLingerBytes) {
+    total += co_await stream.async_read_some(
+        asio::buffer(discarded),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
 asio::awaitable<void> HttpServer::Serve(std::shared_ptr<HttpServer> self,
                                         asio::ip::tcp::socket socket) {
   boost::system::error_code ignored;
@@ -379,6 +414,7 @@
     co_return;
   }
   beast::flat_buffer buffer(kMaxHeaderBytes + kBodyPieceBytes);
+  bool is_response_sent = false;
   while (co_await self->AwaitRequest(*connection, buffer)) {
     const HttpServerLimits limits = self->RequestLimits();
     std::optional<HttpRequest> request;
@@ -415,12 +451,21 @@
     co_await http::async_write(
         stream, *response, asio::redirect_error(asio::use_awaitable, error));
     --self->m_active;
+    is_response_sent = !error;
     self->SetBytes(*connection, buffer.capacity());
     if (error || !response->keep_alive()) {
       break;
     }
   }
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  const bool has_unread =
+      buffer.size() > 0 || stream.socket().available(ignored) > 0;
+  buffer = beast::flat_buffer();
+  // A connection that is not in the table any more must not stay open.
+  if (is_response_sent && has_unread &&
+      self->SetBytes(*connection, kLingerReadBytes)) {
+    co_await Linger(*connection);
+  }
   const std::lock_guard lock(self->m_mutex);
   self->m_table.Remove(connection->m_id);
   self->m_connections.erase(connection->m_id);
