--- a/tests/unruly_input_test.cc
+++ b/tests/unruly_input_test.cc
@@ -89,7 +89,20 @@
     return text + "\r\n\r\n";
   }
 
-  std::string Body() {
+  std::string Body() { return m_random() % 2 == 0 ? Array() : Garbage(); }
+
+ private:
+  // A well-formed document with one long array.
+  std::string Array() {
+    const std::string item =
+        Draw({"{}", "[]", "0", "\"\"", "null", "{\"count\":1}", "[[]]",
+              "{\"a\":{}}", "\"" + Word() + "\""});
+    std::string text = "{\"" + Name() + "\":[";
+    Fill(text, item + ",", kBodyBytes - 64);
+    return text + item + "]}";
+  }
+
+  std::string Garbage() {
     const std::string item = Item(0);
     std::string text = Draw({"{\"", "[\""});
     text = text[0] == '[' ? "[" : "{\"" + Name() + "\":" + Draw({"[", "{"});
@@ -101,7 +114,6 @@
     return text + "]}";
   }
 
- private:
   std::string Draw(const std::vector<std::string>& choices) {
     return choices[m_random() % choices.size()];
   }
