--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -18,6 +18,11 @@
 // the control members. The widest step in use has about 100 tasks.
 constexpr std::size_t kMaxSteps = 1000;
 constexpr std::size_t kMaxTasks = 20'000;
+// Bytes of a specification's text, as the platform's protocol limits it.
+constexpr std::size_t kMaxSpecBytes = 4000;
+// Bytes of a name: labels, racks, images, machines, pools. The platform's have
+// fewer than 40.
+constexpr std::size_t kMaxNameBytes = 1024;
 
 enum class TaskState : std::uint8_t {
   kWaiting,   // Never assigned, or the last run ended without completing it.
@@ -116,6 +121,8 @@
   void OpenOccurrence();
 };
 
+/** @return which text is over its limit; empty if none is. */
+std::string TextProblemOf(const wire::JobSpecT& spec);
 /** @return why the specification is invalid; empty if it is valid. */
 std::string ProblemOf(const wire::JobSpecT& spec);
 
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -127,6 +127,21 @@
   }
 }
 
+std::string TextProblemOf(const wire::JobSpecT& spec) {
+  if (spec.spec.size() > kMaxSpecBytes) {
+    return "spec has more than " + std::to_string(kMaxSpecBytes) + " bytes";
+  }
+  const bool has_long_name =
+      std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& step) {
+        return step->required_label.size() > kMaxNameBytes ||
+               step->data_rack.size() > kMaxNameBytes ||
+               step->image.size() > kMaxNameBytes;
+      });
+  return has_long_name ? "a step has a name of more than " +
+                             std::to_string(kMaxNameBytes) + " bytes"
+                       : "";
+}
+
 std::string ProblemOf(const wire::JobSpecT& spec) {
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
     return "a job has 1 to 1000 steps";
@@ -144,7 +159,7 @@
       }
     }
   }
-  return {};
+  return TextProblemOf(spec);
 }
 
 }  // namespace bronzebarrow::jobs
