Hold ended jobs apart from active ones in the memory of jobs

Found by reading: a busy site's jobs are active for seconds and kept for two and a half minutes after their end, which is about three quarters of the memory for jobs at the large site's rates (computed). Jobs of over 64 KiB and occurrences that overlap were refused or put off beyond half, jobs of over 16 KiB beyond three quarters, so that callers in calm would have met limits that are meant for crowds.

The parts that larger jobs leave free count active jobs only. Of the whole, with ended jobs, jobs of over 16 KiB leave an eighth free, so that jobs which are submitted and cancelled keep no ordinary one out. JobRoom decides who is admitted, and moves to placement.

--- a/include/bronzebarrow/jobs/job_memory.h
+++ b/include/bronzebarrow/jobs/job_memory.h
@@ -36,19 +36,28 @@
  */
 std::size_t StoredBytes(const wire::JobSpecT& spec, std::size_t open);
 
+/** Stored bytes of jobs. */
+struct JobBytes {
+  std::size_t m_all = 0;
+  /** Of m_all, those of jobs that have not ended. */
+  std::size_t m_active = 0;
+
+  bool operator==(const JobBytes&) const = default;
+};
+
 /** Sum of the stored bytes of jobs. */
 class JobMemory {
  public:
   /** Adds the job, or replaces what was counted for it. */
-  void Set(JobId job, std::size_t bytes);
+  void Set(JobId job, std::size_t bytes, bool is_active);
   /** No effect on jobs that are not counted. */
   void Remove(JobId job);
   void Clear();
-  std::size_t bytes() const { return m_bytes; }
+  const JobBytes& bytes() const { return m_bytes; }
 
  private:
-  std::unordered_map<JobId, std::size_t> m_bytes_by_job;
-  std::size_t m_bytes = 0;  // Sum over m_bytes_by_job.
+  std::unordered_map<JobId, JobBytes> m_bytes_by_job;
+  JobBytes m_bytes;  // Sum over m_bytes_by_job.
 };
 
 }  // namespace bronzebarrow::jobs
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -99,8 +99,8 @@
   std::string FindIndexError() const;
   /** @return the queue's active jobs that never had a run assigned. */
   std::uint32_t WaitingCount(const std::string& queue) const;
-  /** @return the bytes of all jobs, as StoredBytes. */
-  std::size_t job_bytes() const { return m_job_memory.bytes(); }
+  /** @return the bytes of the jobs, as StoredBytes. */
+  const JobBytes& job_bytes() const { return m_job_memory.bytes(); }
 
   /**
    * Epoch of the owner of all pools, its fencing token: the index of the log
--- a/include/bronzebarrow/node/work_core.h
+++ b/include/bronzebarrow/node/work_core.h
@@ -19,7 +19,6 @@
 #include "bronzebarrow/consensus.h"
 #include "bronzebarrow/jobs.h"
 #include "bronzebarrow/node/advice_book.h"
-#include "bronzebarrow/node/job_room.h"
 #include "bronzebarrow/node/machine_planner.h"
 #include "bronzebarrow/placement.h"
 #include "bronzebarrow/runs.h"
@@ -302,7 +301,7 @@
   std::set<std::uint64_t> m_pending_assignments;
   // Jobs whose OpenOccurrences command is not yet applied.
   std::set<jobs::JobId> m_pending_openings;
-  JobRoom m_job_room;
+  placement::JobRoom m_job_room;
   std::map<std::string, Heartbeat> m_heartbeats;  // By runner.
   // By runner; no entry is empty.
   std::map<std::string, std::vector<PendingLeave>> m_pending_leaves;
--- a/include/bronzebarrow/placement.h
+++ b/include/bronzebarrow/placement.h
@@ -7,6 +7,7 @@
 #include "bronzebarrow/placement/admission.h"
 #include "bronzebarrow/placement/gap_reservation.h"
 #include "bronzebarrow/placement/job_order.h"
+#include "bronzebarrow/placement/job_room.h"
 #include "bronzebarrow/placement/planner.h"
 #include "bronzebarrow/placement/pool_balance.h"
 
--- a/include/bronzebarrow/placement/job_room.h
+++ b/include/bronzebarrow/placement/job_room.h
@@ -1,8 +1,8 @@
 // Decides whether the members have memory for another job or occurrence. Load
 // pattern: submissions of a hundred bytes that each stand for 20,000 tasks, or
 // for occurrences that are all due. Test: tests/job_room_test.cc.
-#ifndef BRONZEBARROW_NODE_JOB_ROOM_H_
-#define BRONZEBARROW_NODE_JOB_ROOM_H_
+#ifndef BRONZEBARROW_PLACEMENT_JOB_ROOM_H_
+#define BRONZEBARROW_PLACEMENT_JOB_ROOM_H_
 
 #include <algorithm>
 #include <array>
@@ -10,14 +10,17 @@
 #include <limits>
 #include <unordered_map>
 
+#include "bronzebarrow/jobs/job_memory.h"
 #include "bronzebarrow/jobs/task_key.h"
 
-namespace bronzebarrow::node {
+namespace bronzebarrow::placement {
 
 /**
  * Counts what is stored and what is proposed and not applied yet. The larger a
  * job is, the more of the memory it leaves free: a crowd that fills its part
- * keeps no ordinary job out, which has a dozen tasks.
+ * keeps no ordinary job out, which has a dozen tasks. That part counts active
+ * jobs; a busy site's jobs are active for seconds and are kept for minutes
+ * after their end, so that ended ones would fill it in calm.
  */
 class JobRoom {
  public:
@@ -25,21 +28,20 @@
   explicit JobRoom(std::size_t max_bytes) : m_max_bytes(max_bytes) {}
 
   /**
-   * @param stored bytes of all jobs that are applied
+   * @param stored bytes of the jobs that are applied
    * @param job bytes of the new job
    */
-  bool FitsJob(std::size_t stored, std::size_t job) const {
-    return Fits(stored, job, EighthsFor(job));
+  bool FitsJob(const jobs::JobBytes& stored, std::size_t job) const {
+    return Fits(stored, job, TierOf(job));
   }
   /**
    * @param unfinished bytes of the job's open occurrences. One that overlaps
    * them leaves as much free as the largest jobs.
    * @param added bytes of the next occurrences
    */
-  bool FitsOccurrences(std::size_t stored, std::size_t unfinished,
+  bool FitsOccurrences(const jobs::JobBytes& stored, std::size_t unfinished,
                        std::size_t added) const {
-    return Fits(stored, added,
-                unfinished > 0 ? kTiers.back().m_eighths : EighthsFor(added));
+    return Fits(stored, added, unfinished > 0 ? kTiers.back() : TierOf(added));
   }
   /** A job has one proposal at a time: to accept it, or to open occurrences. */
   void Propose(jobs::JobId job, std::size_t added) {
@@ -61,25 +63,30 @@
   }
 
  private:
+  /** Parts of the memory that jobs up to a size may fill. */
   struct Tier {
     std::size_t m_max_job_bytes;
-    std::size_t m_eighths;  // Of the memory that such jobs may fill.
+    std::size_t m_active_eighths;  // By active jobs.
+    std::size_t m_all_eighths;     // With those that have ended.
   };
   static constexpr std::array<Tier, 4> kTiers = {
-      {{std::size_t{4} << 10, 8},
-       {std::size_t{16} << 10, 7},
-       {std::size_t{64} << 10, 6},
-       {std::numeric_limits<std::size_t>::max(), 4}}};
+      {{std::size_t{4} << 10, 8, 8},
+       {std::size_t{16} << 10, 7, 8},
+       {std::size_t{64} << 10, 6, 7},
+       {std::numeric_limits<std::size_t>::max(), 4, 7}}};
 
-  static std::size_t EighthsFor(std::size_t job) {
-    return std::find_if(
-               kTiers.begin(), kTiers.end(),
-               [&](const Tier& tier) { return job <= tier.m_max_job_bytes; })
-        ->m_eighths;
+  static const Tier& TierOf(std::size_t job) {
+    return *std::find_if(kTiers.begin(), kTiers.end(), [&](const Tier& tier) {
+      return job <= tier.m_max_job_bytes;
+    });
   }
-  bool Fits(std::size_t stored, std::size_t added, std::size_t eighths) const {
+  bool Fits(const jobs::JobBytes& stored, std::size_t added,
+            const Tier& tier) const {
+    const std::size_t eighth = m_max_bytes / 8;
+    const std::size_t coming = m_proposed_bytes + added;
     return m_max_bytes == 0 ||
-           stored + m_proposed_bytes + added <= m_max_bytes / 8 * eighths;
+           (stored.m_active + coming <= eighth * tier.m_active_eighths &&
+            stored.m_all + coming <= eighth * tier.m_all_eighths);
   }
 
   std::size_t m_max_bytes;
@@ -87,6 +94,6 @@
   std::size_t m_proposed_bytes = 0;  // Sum over m_proposed.
 };
 
-}  // namespace bronzebarrow::node
+}  // namespace bronzebarrow::placement
 
-#endif  // BRONZEBARROW_NODE_JOB_ROOM_H_
+#endif  // BRONZEBARROW_PLACEMENT_JOB_ROOM_H_
--- a/src/jobs/job_memory.cc
+++ b/src/jobs/job_memory.cc
@@ -39,23 +39,26 @@
   return 2 * SpecBytes(spec) + sizeof(Job) + open * OccurrenceBytes(spec);
 }
 
-void JobMemory::Set(JobId job, std::size_t bytes) {
-  std::size_t& counted = m_bytes_by_job[job];
-  m_bytes = m_bytes - counted + bytes;
-  counted = bytes;
+void JobMemory::Set(JobId job, std::size_t bytes, bool is_active) {
+  Remove(job);
+  const JobBytes counted = {bytes, is_active ? bytes : 0};
+  m_bytes_by_job[job] = counted;
+  m_bytes.m_all += counted.m_all;
+  m_bytes.m_active += counted.m_active;
 }
 
 void JobMemory::Remove(JobId job) {
   const auto found = m_bytes_by_job.find(job);
   if (found != m_bytes_by_job.end()) {
-    m_bytes -= found->second;
+    m_bytes.m_all -= found->second.m_all;
+    m_bytes.m_active -= found->second.m_active;
     m_bytes_by_job.erase(found);
   }
 }
 
 void JobMemory::Clear() {
   m_bytes_by_job.clear();
-  m_bytes = 0;
+  m_bytes = {};
 }
 
 }  // namespace bronzebarrow::jobs
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -135,7 +135,8 @@
 }
 
 void WorkState::UpdateJobMemory(const Job& job) {
-  m_job_memory.Set(job.m_id, StoredBytes(job.m_spec, job.m_occurrences.size()));
+  m_job_memory.Set(job.m_id, StoredBytes(job.m_spec, job.m_occurrences.size()),
+                   job.m_state == JobState::kActive);
 }
 
 void WorkState::MarkStarted(Job& job) {
@@ -159,11 +160,12 @@
     }
     unstarted[job.m_queue] += job.m_started ? 0 : 1;
   }
-  std::size_t job_bytes = 0;
+  JobMemory job_memory;
   for (const auto& [id, job] : m_jobs) {
-    job_bytes += StoredBytes(job.m_spec, job.m_occurrences.size());
+    job_memory.Set(id, StoredBytes(job.m_spec, job.m_occurrences.size()),
+                   job.m_state == JobState::kActive);
   }
-  if (job_bytes != m_job_memory.bytes()) {
+  if (job_memory.bytes() != m_job_memory.bytes()) {
     return "memory of jobs";
   }
   if (startable != m_startable) {
@@ -548,6 +550,7 @@
 void WorkState::EndJob(Job& job, JobState state, ApplyResult& applied) {
   job.m_state = state;
   job.m_ended_ms = m_time_ms;
+  UpdateJobMemory(job);
   const auto number = m_acceptance_numbers.find(job.m_id);
   if (number != m_acceptance_numbers.end()) {
     m_active.erase(number->second);
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -18,8 +18,8 @@
 // One in this many repeated heartbeats still reaches the leader, which compares
 // the sequence numbers of delayed ones with it.
 constexpr std::uint64_t kHeartbeatsPerForwarded = 4;
-// When a caller may return whose job found no memory: jobs end all the time,
-// and are forgotten two minutes after their end.
+// When a caller may return whose job found no memory. Jobs end and are
+// forgotten all the time; the wait only keeps refused callers from pressing.
 constexpr std::uint32_t kNoRoomRetryMs = 5000;
 
 bool IsUnchanged(const wire::RunnerRecordT& record,
@@ -202,7 +202,8 @@
         .Field("queue", queue->name)
         .Field("why", "no memory for the job")
         .Field("bytes", job_bytes)
-        .Field("stored", m_state.job_bytes());
+        .Field("active", m_state.job_bytes().m_active)
+        .Field("stored", m_state.job_bytes().m_all);
     Reply(source, call_id, wire::CallOutcome::Refused,
           "the memory for jobs is used up", kNoRoomRetryMs);
     return;
--- a/tests/frame_listener_test.cc
+++ b/tests/frame_listener_test.cc
@@ -128,8 +128,8 @@
     CPPUNIT_ASSERT_EQUAL(0, m_closed);
   }
 
-  // Guards against peers that know the protocol and hold back the end of large
-  // frames: 40 MiB in 8 MiB here. A peer that sends nothing large stays.
+  // Guards against peers that send a valid first frame and then incomplete
+  // large ones: 40 MiB in 8 MiB here. A peer that sends nothing large stays.
   void PartialFramesAreBoundedTogether() {
     Peer& small = Connect();
     small.Send(ViewRequest(10));
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -142,8 +142,8 @@
     CPPUNIT_ASSERT(Now() >= start + kHandlingTime);
   }
 
-  // Guards against a client that is told that its body is too large when its
-  // head is, and against fields without bound in a head of allowed size.
+  // Guards against status 413 for an oversized head, and against an unlimited
+  // number of fields in a head of allowed size.
   void RequestsOverALimitGetItsStatus() {
     const std::string head = "POST /first HTTP/1.1\r\n";
     std::string fields;
