Record the first start of each job, and count jobs by it

Cause: WorkState::AssignRuns marked a job as started when a run was assigned, and nothing took the mark back. Ruled out: a count of the runs that are assigned now, as a job whose task began and was lost would wait again; and memory of the leader alone, as the next leader finds neither run nor list.

Change: the owner records the first start that a runner confirms (the answer to the start, a row of a run list, a listed end) with a new command, RecordStarts. The order of placement meant the intent, and asks Job::IsInProgress.

--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -74,7 +74,9 @@
   std::string m_organisation;
   wire::JobSpecT m_spec;
   JobState m_state = JobState::kActive;
-  bool m_started = false;  // Whether a run has ever been assigned.
+  // Whether a runner is known to have started a task. A run that is only
+  // assigned may never start.
+  bool m_started = false;
   std::uint64_t m_accepted_ms = 0;
   std::uint64_t m_ended_ms = 0;
   // Length of the critical path over all steps, from the estimates of the
@@ -113,6 +115,8 @@
   const Task* FindTask(const TaskKey& key) const;
   /** @return whether all steps that step `number` depends on are done. */
   bool IsStepReady(const Occurrence& occurrence, std::size_t number) const;
+  /** @return whether a task has started, or has a runner that may start it. */
+  bool IsInProgress() const;
   /** @return whether a waiting task belongs to a ready step. */
   bool HasStartableTask() const;
   /** @return whether a waiting task meets the condition. */
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -36,6 +36,8 @@
   std::vector<RunKey> m_ended;
   /** Runs whose tasks the command gave up because they crash runners. */
   std::vector<RunKey> m_given_up;
+  /** Jobs whose first start the command recorded, also if they had ended. */
+  std::vector<JobId> m_jobs_started;
   /** Jobs that the command completed, failed or cancelled. */
   std::vector<JobId> m_jobs_ended;
 };
@@ -97,7 +99,7 @@
    * from all jobs and runners; empty if there is none. For tests.
    */
   std::string FindIndexError() const;
-  /** @return the queue's active jobs that never had a run assigned. */
+  /** @return the queue's active jobs of which no task has started. */
   std::uint32_t WaitingCount(const std::string& queue) const;
   /** @return the bytes of the jobs, as StoredBytes. */
   const JobBytes& job_bytes() const { return m_job_memory.bytes(); }
@@ -128,6 +130,7 @@
   void RecordUpkeep(const wire::WorkBodyUnion& body, ApplyResult& applied);
   void ForgetJobs(const wire::WorkBodyUnion& body, ApplyResult& applied);
   void RecordMove(const wire::WorkBodyUnion& body, ApplyResult& applied);
+  void RecordStarts(const wire::WorkBodyUnion& body, ApplyResult& applied);
 
   // Records the end of a run; ignored unless the runner has this run.
   void EndRun(const RunKey& run, const std::string& runner, wire::EndKind how,
@@ -184,7 +187,7 @@
   void UpdateJobIndexes(const Job& job);
   // Counts the job with its open occurrences.
   void UpdateJobMemory(const Job& job);
-  // Marks the job as started, once.
+  // Marks the active job as started, once.
   void MarkStarted(Job& job);
   // Adds the runner to m_runners_by_machine under the machine of its record, or
   // removes it. Not in the index while its record changes.
@@ -214,7 +217,7 @@
   // Sum over the assigned runs of all runners, without zero entries: starts
   // without an answer and runs that are being stopped count. Derived.
   organisations::Usage m_usage;
-  // By queue: active jobs that never had a run assigned.
+  // By queue: active jobs of which no task has started.
   std::map<std::string, std::uint32_t> m_unstarted;
   JobMemory m_job_memory;  // Of m_jobs.
   Runners m_runners;
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -63,6 +63,7 @@
   const wire::QueueSpecT* m_queue = nullptr;
   ObjectiveStatus m_status = ObjectiveStatus::kOnTime;
   std::int64_t m_slack_ms = 0;  // Time until it is late; negative when late.
+  bool m_in_progress = false;   // As Job::IsInProgress.
 };
 
 /** @return whether only their acceptance decides the order of the two jobs. */
@@ -70,8 +71,8 @@
 
 /**
  * @return active jobs with a task that could start now: by status, then by the
- * queue's priority value (lowest first), then started jobs first, then in the
- * order of acceptance
+ * queue's priority value (lowest first), then jobs in progress first, then in
+ * the order of acceptance
  */
 std::vector<RankedJob> RankJobs(const jobs::WorkState& state,
                                 std::uint64_t now_ms,
--- a/include/bronzebarrow/runs.h
+++ b/include/bronzebarrow/runs.h
@@ -7,5 +7,6 @@
 #include "bronzebarrow/runs/runner_call.h"
 #include "bronzebarrow/runs/runner_health.h"
 #include "bronzebarrow/runs/runner_link.h"
+#include "bronzebarrow/runs/start_recorder.h"
 
 #endif  // BRONZEBARROW_RUNS_H_
--- a/include/bronzebarrow/runs/dispatcher.h
+++ b/include/bronzebarrow/runs/dispatcher.h
@@ -17,6 +17,7 @@
 #include "bronzebarrow/runs/crash_history.h"
 #include "bronzebarrow/runs/runner_call.h"
 #include "bronzebarrow/runs/runner_link.h"
+#include "bronzebarrow/runs/start_recorder.h"
 
 namespace bronzebarrow::runs {
 
@@ -132,6 +133,8 @@
 
   std::vector<RunnerCall> TakeOutgoingCalls();
   std::vector<wire::WorkBodyUnion> TakeCommands();
+  /** Records of starts, which the caller proposes as it does TakeCommands. */
+  StartRecorder& start_recorder() { return m_start_recorder; }
   /** @return the number of runs ended as lost since the last call, by cause. */
   std::map<std::string, std::uint64_t> TakeLostRuns();
   /** @return addresses that no runner of this owner uses any longer. */
@@ -240,6 +243,7 @@
   DispatcherOptions m_options;
   std::function<bool(const jobs::Runner&)> m_is_down_as_requested;
   CrashHistory m_crash_history;
+  StartRecorder m_start_recorder;
   std::uint64_t m_epoch = 0;  // Fencing token; 0: not the owner.
   // One per registered runner. Looked up for each candidate of each plan.
   std::unordered_map<std::string, RunnerLink> m_links;
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -91,6 +91,17 @@
                      });
 }
 
+bool Job::IsInProgress() const {
+  return m_started ||
+         std::any_of(
+             m_occurrences.begin(), m_occurrences.end(), [](const auto& item) {
+               const auto& steps = item.second.m_steps;
+               return std::any_of(
+                   steps.begin(), steps.end(),
+                   [](const StepState& step) { return step.m_assigned > 0; });
+             });
+}
+
 bool Job::HasStartableTask() const {
   for (const auto& [number, occurrence] : m_occurrences) {
     for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -30,6 +30,7 @@
       {WorkBody::RecordUpkeep, &WorkState::RecordUpkeep},
       {WorkBody::ForgetJobs, &WorkState::ForgetJobs},
       {WorkBody::RecordMove, &WorkState::RecordMove},
+      {WorkBody::RecordStarts, &WorkState::RecordStarts},
   };
   return handlers;
 }
@@ -357,7 +358,9 @@
     task->m_runner = assign.runner;
     --step.m_waiting;
     ++step.m_assigned;
-    MarkStarted(job);
+    if (!assign.records_starts) {
+      MarkStarted(job);
+    }
     if (step.m_waiting == 0) {
       UpdateJobIndexes(job);
     }
@@ -432,6 +435,9 @@
     SetCheckpoint(job, run.m_task, how, checkpoint);
   }
   if (job.m_state == JobState::kActive) {
+    if (how != wire::EndKind::Lost) {
+      MarkStarted(job);  // A runner lists the ends of what it started only.
+    }
     ApplyRunEnd(job, run, how, applied);
     UpdateJobIndexes(job);
   }
@@ -687,6 +693,18 @@
   applied.m_changed = true;
 }
 
+void WorkState::RecordStarts(const wire::WorkBodyUnion& body,
+                             ApplyResult& applied) {
+  applied.m_jobs_started = body.AsRecordStarts()->jobs;
+  for (const JobId id : applied.m_jobs_started) {
+    const auto job = m_jobs.find(id);
+    if (job != m_jobs.end() && job->second.m_state == JobState::kActive) {
+      MarkStarted(job->second);
+      applied.m_changed = true;
+    }
+  }
+}
+
 void WorkState::ForgetJobs(const wire::WorkBodyUnion& body,
                            ApplyResult& applied) {
   for (const JobId id : body.AsForgetJobs()->jobs) {
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -437,7 +437,9 @@
       m_machine_planner.BecomeLeader(m_state.epoch(), m_moment.m_now);
     }
     m_dispatcher.OnApplied(applied, m_moment.m_now);
-    m_plan_needed = true;
+    // A recorded start makes no room and no task startable.
+    m_plan_needed =
+        m_plan_needed || applied.m_kind != wire::WorkBody::RecordStarts;
     if (applied.m_kind == wire::WorkBody::RemoveRunner && applied.m_changed) {
       RecordRemoval(applied.m_runner, applied.m_born_ms);
       RegisterNextIncarnation(applied.m_runner, applied.m_born_ms);
@@ -587,6 +589,7 @@
     wire::AssignRunsT assign;
     assign.runner = placement.m_runner;
     assign.born_ms = placement.m_born_ms;
+    assign.records_starts = true;
     for (const jobs::RunKey& run : placement.m_runs) {
       assign.tasks.push_back(jobs::ToWire(run));
       const jobs::Job* const job = m_state.FindJob(run.m_task.m_job);
@@ -744,10 +747,17 @@
 }
 
 void WorkCore::ProposeCommands() {
-  if (m_commands.empty() || m_batches_in_flight >= kMaxBatchesInFlight ||
+  runs::StartRecorder& starts = m_dispatcher.start_recorder();
+  if ((m_commands.empty() && !starts.IsDue(m_moment.m_now)) ||
+      m_batches_in_flight >= kMaxBatchesInFlight ||
       m_replica.role() != consensus::Role::kLeader) {
     return;
   }
+  if (auto record = starts.TakeCommand()) {
+    wire::WorkBodyUnion body;
+    body.Set(std::move(*record));
+    AddCommand(std::move(body));
+  }
   wire::WorkBatchT batch;
   batch.commands = std::exchange(m_commands, {});
   if (m_replica.Propose(wire::Encode<wire::WorkBatch>(batch), m_moment.m_now)) {
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -12,7 +12,7 @@
 
 auto RankOf(const RankedJob& ranked) {
   return std::tuple(ranked.m_status, ranked.m_queue->priority,
-                    !ranked.m_job->m_started);
+                    !ranked.m_in_progress);
 }
 
 ObjectiveStatus ObjectiveStatusOf(std::int64_t age, std::int64_t remaining,
@@ -27,7 +27,8 @@
 
 RankedJob AssessJob(const jobs::Job& job, const wire::QueueSpecT& queue,
                     std::uint64_t now_ms, const TypicalSteps& typical) {
-  RankedJob entry = {&job, &queue, ObjectiveStatus::kLongRunning, 0};
+  RankedJob entry = {&job, &queue, ObjectiveStatus::kLongRunning, 0,
+                     job.IsInProgress()};
   if (job.IsLongRunning()) {
     return entry;
   }
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -92,19 +92,19 @@
   }
 
   // Places jobs that are equal in the order of placement but for their
-  // acceptance. Started ones go on in the order of acceptance, because many
+  // acceptance. Those in progress go on in the order of acceptance, as many
   // jobs half done are late together. New ones follow start-time fair queueing:
   // each by the work of its organisation that waits before it, over the weight,
   // so that a deep backlog waits for shallow ones and is not passed for ever.
   void PlaceByShare(std::span<const RankedJob> equal) {
     std::vector<std::pair<double, const RankedJob*>> order;
     std::map<std::string_view, double> work_by_organisation;
-    const bool have_started = equal.front().m_job->m_started;
+    const bool are_in_progress = equal.front().m_in_progress;
     for (const RankedJob& ranked : equal) {
       const std::string& organisation = ranked.m_job->m_organisation;
       double& work_before = work_by_organisation[organisation];
       order.emplace_back(
-          have_started ? 0 : work_before / m_shares.WeightOf(organisation),
+          are_in_progress ? 0 : work_before / m_shares.WeightOf(organisation),
           &ranked);
       work_before += m_shares.DominantWork(ranked.m_job->m_spec);
     }
--- a/src/runs/dispatcher.cc
+++ b/src/runs/dispatcher.cc
@@ -73,7 +73,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const jobs::WorkState& state, DispatcherOptions options)
-    : m_state(state), m_options(options) {}
+    : m_state(state), m_options(options), m_start_recorder(state) {}
 
 void Dispatcher::BecomeLeader(std::uint64_t epoch, Instant now) {
   m_epoch = epoch;
@@ -83,6 +83,7 @@
   m_tickets.clear();
   m_calls.clear();
   m_commands.clear();
+  m_start_recorder.Clear();
   m_next_inventory = now;
   for (const auto& [id, runner] : m_state.runners()) {
     RefreshLink(id, now);
@@ -102,6 +103,7 @@
   m_links.clear();
   m_calls.clear();
   m_commands.clear();
+  m_start_recorder.Clear();
 }
 
 std::vector<RunnerCall> Dispatcher::TakeOutgoingCalls() {
@@ -383,6 +385,7 @@
   if (!leading()) {
     return;
   }
+  m_start_recorder.OnApplied(applied);
   if (applied.m_kind == wire::WorkBody::RegisterRunner ||
       applied.m_kind == wire::WorkBody::RemoveRunner) {
     RefreshLink(applied.m_runner, now);
@@ -672,6 +675,9 @@
                               Instant now) {
   switch (call.m_kind) {
     case CallKind::kStart:
+      if (answer.m_kind == AnswerKind::kOk) {
+        m_start_recorder.OnStarted(call.m_run.m_task.m_job, now);
+      }
       OnStart(call, answer, link, now);
       break;
     case CallKind::kStop:
@@ -720,6 +726,7 @@
       StopRunsAtNextIncarnation(call.m_runner, link, call.m_sent, now);
   for (const ReportedRun& row : answer.m_running) {
     if (FindTracked(link, row.m_run) != nullptr) {
+      m_start_recorder.OnStarted(row.m_run.m_task.m_job, now);
       may_run_there = true;
       SendStop(call.m_runner, link, row.m_run, now);
     }
@@ -934,9 +941,13 @@
     const auto tracked = link.m_tracked_runs.find(row.m_run.m_task);
     if (tracked == link.m_tracked_runs.end() ||
         tracked->second.m_run != row.m_run.m_run) {
+      m_start_recorder.OnStarted(row.m_run.m_task.m_job, now);
       SendStop(call.m_runner, link, row.m_run, now);
       continue;
     }
+    if (!tracked->second.m_is_listed) {
+      m_start_recorder.OnStarted(row.m_run.m_task.m_job, now);
+    }
     tracked->second.m_checkpoint = row.m_checkpoint;
     if (tracked->second.m_progress != row.m_percent ||
         tracked->second.m_progressed_at == Instant()) {
@@ -977,6 +988,7 @@
           .Field("runner", call.m_runner)
           .Field("how", wire::EnumNameEndKind(row.m_how))
           .Field("cause", "not assigned to the runner");
+      m_start_recorder.OnStarted(row.m_run.m_task.m_job, now);
       continue;
     }
     tracked->second.m_reported_at = now;
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -138,6 +138,7 @@
 
 void FakeWorkGroup::OnStart(const FakeRunner& runner, const jobs::RunKey& run) {
   ++m_starts;
+  m_started_jobs.insert(run.m_task.m_job);
   m_evicted.erase(run.m_task);
   std::uint32_t& latest_start = m_latest_start[run.m_task];
   latest_start = std::max(latest_start, run.m_run);
@@ -400,6 +401,7 @@
       }
     }
   }
+  CheckShownStarts();
 }
 
 fleet::Machine FakeWorkGroup::DescribeMachine(std::size_t runner) const {
@@ -441,6 +443,22 @@
   });
 }
 
+void FakeWorkGroup::CheckShownStarts() {
+  for (const Member& member : m_members) {
+    if (!member.m_core) {
+      continue;
+    }
+    for (const auto& [number, id] : member.m_core->state().active()) {
+      if (member.m_core->state().FindJob(id)->Phase() ==
+              wire::JobPhase::Running &&
+          !m_started_jobs.contains(id)) {
+        RecordViolation("shown as running without a start:",
+                        {{id, 0, 0, 0}, 0});
+      }
+    }
+  }
+}
+
 std::optional<std::size_t> FakeWorkGroup::Leader() {
   for (std::size_t i = 0; i < m_members.size(); ++i) {
     if (m_members[i].m_core && !m_members[i].m_suspended &&
@@ -753,6 +771,11 @@
   m_lives[runner].m_refuses_when_ended = false;
 }
 
+void FakeWorkGroup::PowerOnRunner(std::size_t runner) {
+  m_runner_disconnected[runner] = false;
+  RestartRunner(runner);
+}
+
 void FakeWorkGroup::SubmitLongRunning(std::uint32_t count) {
   const auto id = m_next_job++;
   wire::SubmitCallT submit;
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -88,6 +88,8 @@
   void HealAll();
   /** The runner loses power: its runs are gone and it does not answer. */
   void PowerOffRunner(std::size_t runner);
+  /** The machine gets power again, and a new incarnation starts on it. */
+  void PowerOnRunner(std::size_t runner);
 
   /** Cuts the runner off, or connects it again. Open calls end with resets. */
   void CutRunner(std::size_t runner, RunnerCut cut);
@@ -136,6 +138,8 @@
   /** @return the first violation of a guarantee, or an empty text. */
   const std::string& violation() const { return m_violation; }
   std::size_t starts() const { return m_starts; }
+  /** Jobs of which a runner has started a task. */
+  const std::set<jobs::JobId>& started_jobs() const { return m_started_jobs; }
 
  private:
   struct Member {
@@ -208,6 +212,8 @@
   void EndLeavingRunner(std::size_t runner, std::uint32_t life);
   void DropHolds(std::size_t runner);
   void CheckBudget(const jobs::TaskKey& task);
+  // Checks that members show only jobs as running of which a task has started.
+  void CheckShownStarts();
   bool IsRunning(const jobs::TaskKey& task) const;
   void RecordViolation(const std::string& what, const jobs::RunKey& run);
   FakeRunner MakeRunner(std::size_t index);
@@ -253,6 +259,7 @@
   std::uint64_t m_next_call = 1;
   std::uint64_t m_next_job = 1;
   std::size_t m_starts = 0;
+  std::set<jobs::JobId> m_started_jobs;  // A runner has started a task of it.
   std::string m_violation;
 };
 
--- a/tests/owner_and_runners.h
+++ b/tests/owner_and_runners.h
@@ -128,6 +128,7 @@
     wire::AssignRunsT assign;
     assign.runner = runner;
     assign.born_ms = m_state->FindRunner(runner)->m_record.born_ms;
+    assign.records_starts = true;
     for (const jobs::RunKey& run : runs) {
       assign.tasks.push_back(jobs::ToWire(run));
     }
@@ -202,6 +203,9 @@
   /** @return the proposed commands, checked but not applied */
   std::vector<wire::WorkBodyUnion> CheckCommands() {
     std::vector<wire::WorkBodyUnion> commands = m_dispatcher->TakeCommands();
+    if (auto record = m_dispatcher->start_recorder().TakeCommand()) {
+      commands.emplace_back().Set(std::move(*record));
+    }
     for (const wire::WorkBodyUnion& body : commands) {
       if (const auto* const ends = body.AsEndRuns()) {
         for (const auto& end : ends->ends) {
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -20,6 +20,10 @@
   CPPUNIT_TEST(JobFailsAfterLastAttempt);
   CPPUNIT_TEST(FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob);
   CPPUNIT_TEST(EndOfOlderRunIsIgnored);
+  CPPUNIT_TEST(AssignmentThatIsLostIsNoStart);
+  CPPUNIT_TEST(ListedEndIsAStart);
+  CPPUNIT_TEST(RecordedStartOutlivesTheSnapshot);
+  CPPUNIT_TEST(AssignmentByAnEarlierVersionIsAStart);
   CPPUNIT_TEST(NewRunnerIncarnationLosesAssignedRuns);
   CPPUNIT_TEST(SecondCrashJustAfterTheStartFailsTheJob);
   CPPUNIT_TEST(CrashWithSeveralSuspectsFailsNoJob);
@@ -51,6 +55,7 @@
   void setUp() override {
     m_state = std::make_unique<WorkState>();
     m_index = 0;
+    m_records_starts = false;
     wire::PutConfigT put;
     put.config = MakeConfig(3);
     Apply(std::move(put));
@@ -106,6 +111,69 @@
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
   }
 
+  // Guards against a job that leaves the count of waiting ones although its
+  // runner was lost before it started anything.
+  void AssignmentThatIsLostIsNoStart() {
+    m_records_starts = true;
+    AcceptJob(1, {1});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1)});
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Queued);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("short"));
+    RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0);
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Queued);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("short"));
+    wire::CancelJobT cancel;
+    cancel.job = 1;
+    Apply(cancel);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount("short"));
+  }
+
+  void ListedEndIsAStart() {
+    m_records_starts = true;
+    JobId id = 0;
+    for (const wire::EndKind how : wire::EnumValuesEndKind()) {
+      AcceptJob(++id, {2});
+      AssignRuns("r", {MakeRun(id, 0, 0, 1)});
+      RecordEnd("r", MakeRun(id, 0, 0, 1), how, 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(wire::EnumNameEndKind(how),
+                                   how != wire::EndKind::Lost,
+                                   m_state->FindJob(id)->m_started);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_state->FindIndexError());
+  }
+
+  // Guards against a job that waits again after its task was lost.
+  void RecordedStartOutlivesTheSnapshot() {
+    m_records_starts = true;
+    AcceptJob(1, {1});
+    AcceptJob(2, {1});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1), MakeRun(2, 0, 0, 1)});
+    wire::CancelJobT cancel;
+    cancel.job = 2;
+    Apply(cancel);
+    wire::RecordStartsT record;
+    record.jobs = {1, 2, 3};
+    Apply(std::move(record));
+    RegisterRunner("r", 2);  // Its runs are lost.
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    CPPUNIT_ASSERT(Phase(2) == wire::JobPhase::Cancelled);
+    WorkState copy;
+    CPPUNIT_ASSERT(copy.Load(m_state->Image()));
+    CPPUNIT_ASSERT(copy.FindJob(1)->m_started);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, copy.WaitingCount("short"));
+  }
+
+  // Guards against jobs that wait again after an update, because the log of an
+  // earlier version has no records of their starts.
+  void AssignmentByAnEarlierVersionIsAStart() {
+    AcceptJob(1, {1});
+    AssignRuns("r", {MakeRun(1, 0, 0, 1)});
+    RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0);
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount("short"));
+  }
+
   void EndOfOlderRunIsIgnored() {
     AcceptJob(1, {1});
     AssignRuns("r", {MakeRun(1, 0, 0, 1)});
@@ -577,10 +645,11 @@
   void IndexesEqualTheirRecomputation() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       setUp();
+      m_records_starts = seed % 2 == 0;
       RegisterRunner("s", 1);
       std::mt19937_64 random(seed);
       for (int i = 0; i < 60; ++i) {
-        switch (random() % 12) {
+        switch (random() % 13) {
           case 0: {
             wire::RemoveRunnerT remove;
             remove.runner = random() % 2 == 0 ? "r" : "s";
@@ -605,6 +674,12 @@
             Apply(open);
             break;
           }
+          case 2: {
+            wire::RecordStartsT record;
+            record.jobs = {1 + random() % 8, 1 + random() % 8};
+            Apply(std::move(record));
+            break;
+          }
           default:
             ApplyRandomCommand(random);
         }
@@ -824,6 +899,7 @@
     wire::AssignRunsT assign;
     assign.runner = runner;
     assign.born_ms = m_state->FindRunner(runner)->m_record.born_ms;
+    assign.records_starts = m_records_starts;
     for (const RunKey& run : runs) {
       assign.tasks.push_back(ToWire(run));
     }
@@ -913,6 +989,8 @@
 
   std::unique_ptr<WorkState> m_state;
   std::uint64_t m_index = 0;
+  bool m_records_starts =
+      false;  // Whether assignments leave starts to records.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkStateTest);
