Let jobs belong to the host and prefix that they were submitted to

Cause: a job held the name of its queue, and RenameQueues followed names only from one version to the next. Ruled out: the planner alone (it passes over a queue without a configuration, but a job found again by name would still go to the wrong service), and longer chains of renames (two names that change places look like two that stay).

Change: QueueAddress is the identity; the name is a label. Order, suspects, advice, demand of pools, attempts, waiting counts and typical durations ask by address. A job whose queue is removed while its entry is on the way is not accepted (404). Two routes with one name are valid, as PROTOCOL.md has it.

FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob asserted that a task has no limit of attempts while its queue is away, which held only as nothing started then. It is replaced by AttemptsOfTheFormerQueueHoldWhileItIsAbsent, which bounds failures from both sides.

--- a/include/bronzebarrow/jobs.h
+++ b/include/bronzebarrow/jobs.h
@@ -6,6 +6,8 @@
 #include "bronzebarrow/jobs/crash_evidence.h"
 #include "bronzebarrow/jobs/job.h"
 #include "bronzebarrow/jobs/job_memory.h"
+#include "bronzebarrow/jobs/job_queues.h"
+#include "bronzebarrow/jobs/queue_address.h"
 #include "bronzebarrow/jobs/queue_table.h"
 #include "bronzebarrow/jobs/runner.h"
 #include "bronzebarrow/jobs/task_key.h"
--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bronzebarrow/jobs/crash_evidence.h"
+#include "bronzebarrow/jobs/queue_address.h"
 #include "bronzebarrow/jobs/task_key.h"
 #include "wire_generated.h"
 
@@ -69,7 +70,10 @@
 
 struct Job {
   JobId m_id = 0;
-  std::string m_queue;
+  QueueAddress m_queue;
+  // Set while m_queue is empty: an earlier version stored only the name of the
+  // queue, and no configuration since has had a queue of this name.
+  std::string m_queue_name;
   // The organisation whose key submitted it; empty: none.
   std::string m_organisation;
   wire::JobSpecT m_spec;
--- a/include/bronzebarrow/jobs/queue_table.h
+++ b/include/bronzebarrow/jobs/queue_table.h
@@ -10,13 +10,11 @@
 #include <string_view>
 #include <vector>
 
+#include "bronzebarrow/jobs/queue_address.h"
 #include "wire_generated.h"
 
 namespace bronzebarrow::jobs {
 
-/** @return the host without its port, in lower case. */
-std::string NormalizeHost(std::string_view host);
-
 /** @return why the configuration is invalid; empty if it is valid. */
 std::string ProblemOf(const wire::FleetConfigT& config);
 
@@ -38,10 +36,13 @@
    */
   const wire::QueueSpecT* Route(std::string_view host, std::string_view path,
                                 std::size_t* compared = nullptr) const;
-  const wire::QueueSpecT* Find(const std::string& name) const;
   /** @return the queue with exactly this host and path prefix, or null. */
-  const wire::QueueSpecT* FindAt(std::string_view host,
-                                 const std::string& path_prefix) const;
+  const wire::QueueSpecT* Find(const QueueAddress& address) const;
+  /**
+   * @return the first queue of this name, or null. Only for what an earlier
+   * version stored: a name does not identify a queue.
+   */
+  const wire::QueueSpecT* FindByName(const std::string& name) const;
   const wire::PoolSpecT* FindPool(const std::string& name) const;
 
  private:
@@ -73,7 +74,7 @@
 
   // Queues by normalised host.
   std::map<std::string, PrefixEntries, HostLess> m_queues_by_host;
-  std::map<std::string, const wire::QueueSpecT*> m_queues_by_name;
+  std::map<QueueAddress, const wire::QueueSpecT*> m_queues_by_address;
   std::map<std::string, const wire::PoolSpecT*> m_pools_by_name;
 };
 
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -13,7 +13,7 @@
 
 #include "bronzebarrow/jobs/job.h"
 #include "bronzebarrow/jobs/job_memory.h"
-#include "bronzebarrow/jobs/queue_table.h"
+#include "bronzebarrow/jobs/job_queues.h"
 #include "bronzebarrow/jobs/runner.h"
 #include "bronzebarrow/jobs/upkeep.h"
 #include "bronzebarrow/organisations.h"
@@ -63,7 +63,19 @@
   /** @return whether the image was valid and has replaced the state. */
   bool Load(std::span<const std::uint8_t> image);
 
-  const QueueTable& queues() const { return m_queues; }
+  const QueueTable& queues() const { return m_queues.table(); }
+  /**
+   * @return the queue that the job belongs to, as the configuration in force or
+   * else the last one with it has it; null for an ended job of a queue that is
+   * not in force, or if no configuration has had it
+   */
+  const wire::QueueSpecT* FindQueue(const Job& job) const {
+    return m_queues.Find(job.m_queue);
+  }
+  /** @return queues that the configuration lacks and that have active jobs. */
+  std::size_t former_queue_count() const { return m_queues.former_count(); }
+  /** @return the name of the job's queue, or its address without a name. */
+  std::string QueueNameOf(const Job& job) const;
   const organisations::OrganisationTable& organisations() const {
     return m_organisations;
   }
@@ -100,7 +112,9 @@
    */
   std::string FindIndexError() const;
   /** @return the queue's active jobs of which no task has started. */
-  std::uint32_t WaitingCount(const std::string& queue) const;
+  std::uint32_t WaitingCount(const QueueAddress& queue) const {
+    return m_queues.WaitingCount(queue);
+  }
   /** @return the bytes of the jobs, as StoredBytes. */
   const JobBytes& job_bytes() const { return m_job_memory.bytes(); }
 
@@ -159,16 +173,18 @@
   // stopped run and a long-running task need no update.
   void ApplyRunEnd(Job& job, const RunKey& run, wire::EndKind how,
                    ApplyResult& applied);
-  // Moves the active jobs of queues that have another name than in `previous`,
-  // at the same host and prefix, to the new name.
-  void RenameQueues(const QueueTable& previous);
+  // Gives active jobs that an earlier version stored by the name of their queue
+  // its address, as far as the configuration in force has the name.
+  void ResolveQueueNames();
+  // Sets the queue of a job that an earlier version stored.
+  void SetQueueByName(Job& job, const std::string& name) const;
   // Moves jobs and usage of organisations that have another name than in
   // `former` to the new name.
   void RenameOrganisations(const organisations::OrganisationTable& former);
   // Adds the task's resources, `times` times, to its organisation's usage.
   void AddUsage(const TaskKey& task, const wire::StepSpecT& step,
                 std::int64_t times);
-  // Whether the task may not run again. False while the configuration lacks the
+  // Whether the task may not run again. False if no configuration has had the
   // job's queue: its limit of attempts is unknown then.
   bool HasUsedAllAttempts(const Job& job, const Task& task) const;
   // Ends the jobs whose tasks may not run again under a new configuration.
@@ -200,7 +216,7 @@
   std::uint64_t m_entry_index = 0;  // Index of the log entry being applied.
   std::uint64_t m_epoch = 0;        // Never decreases.
   std::string m_owner;
-  QueueTable m_queues;
+  JobQueues m_queues;
   // Of the configuration in m_queues.
   organisations::OrganisationTable m_organisations;
   Jobs m_jobs;
@@ -217,8 +233,6 @@
   // Sum over the assigned runs of all runners, without zero entries: starts
   // without an answer and runs that are being stopped count. Derived.
   organisations::Usage m_usage;
-  // By queue: active jobs of which no task has started.
-  std::map<std::string, std::uint32_t> m_unstarted;
   JobMemory m_job_memory;  // Of m_jobs.
   Runners m_runners;
   // By pool; no entry is empty. Derived from m_runners.
--- a/include/bronzebarrow/placement/job_order.h
+++ b/include/bronzebarrow/placement/job_order.h
@@ -40,7 +40,7 @@
   std::int64_t CriticalPathMs(const jobs::Job& job) const;
 
  private:
-  std::map<std::string, double> m_step_ms;  // Moving mean by queue.
+  std::map<jobs::QueueAddress, double> m_step_ms;  // Moving mean by queue.
 };
 
 /**
--- a/src/jobs/queue_table.cc
+++ b/src/jobs/queue_table.cc
@@ -29,6 +29,10 @@
   return normalized;
 }
 
+QueueAddress AddressOf(const wire::QueueSpecT& queue) {
+  return {NormalizeHost(queue.host), queue.path_prefix};
+}
+
 std::string ProblemOf(const wire::FleetConfigT& config) {
   std::set<std::string> pools;
   for (const auto& pool : config.pools) {
@@ -36,14 +40,12 @@
       return "a pool without a name, or named twice: " + pool->name;
     }
   }
-  std::set<std::string> names;
-  std::set<std::pair<std::string, std::string>> addresses;
+  std::set<QueueAddress> addresses;
   for (const auto& queue : config.queues) {
-    if (queue->name.empty() || !names.insert(queue->name).second) {
-      return "a queue without a name, or named twice: " + queue->name;
+    if (queue->name.empty()) {
+      return "a queue without a name";
     }
-    if (!addresses.emplace(NormalizeHost(queue->host), queue->path_prefix)
-             .second) {
+    if (!addresses.insert(AddressOf(*queue)).second) {
       return "two queues at one host and prefix: " + queue->name;
     }
     if (!pools.contains(queue->pool)) {
@@ -65,7 +67,7 @@
       sorted_queues;
   for (const auto& queue : m_config->queues) {
     sorted_queues[NormalizeHost(queue->host)][queue->path_prefix] = queue.get();
-    m_queues_by_name[queue->name] = queue.get();
+    m_queues_by_address[AddressOf(*queue)] = queue.get();
   }
   for (const auto& [host, queues] : sorted_queues) {
     PrefixEntries& entries = m_queues_by_host[host];
@@ -136,21 +138,16 @@
   return nullptr;
 }
 
-const wire::QueueSpecT* QueueTable::Find(const std::string& name) const {
-  const auto queue = m_queues_by_name.find(name);
-  return queue == m_queues_by_name.end() ? nullptr : queue->second;
+const wire::QueueSpecT* QueueTable::Find(const QueueAddress& address) const {
+  const auto queue = m_queues_by_address.find(address);
+  return queue == m_queues_by_address.end() ? nullptr : queue->second;
 }
 
-const wire::QueueSpecT* QueueTable::FindAt(
-    std::string_view host, const std::string& path_prefix) const {
-  const PrefixEntries* const entries = FindHost(host);
-  const std::size_t count =
-      entries == nullptr ? 0 : CountUpTo(*entries, path_prefix, nullptr);
-  if (count == 0) {
-    return nullptr;
-  }
-  const wire::QueueSpecT* const queue = (*entries)[count - 1].m_queue;
-  return queue->path_prefix == path_prefix ? queue : nullptr;
+const wire::QueueSpecT* QueueTable::FindByName(const std::string& name) const {
+  const auto queue =
+      std::find_if(m_config->queues.begin(), m_config->queues.end(),
+                   [&](const auto& listed) { return listed->name == name; });
+  return queue == m_config->queues.end() ? nullptr : queue->get();
 }
 
 const wire::PoolSpecT* QueueTable::FindPool(const std::string& name) const {
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -10,7 +10,8 @@
 
 std::unique_ptr<wire::JobImageT> ToImage(const Job& job) {
   auto image = std::make_unique<wire::JobImageT>();
-  image->queue = job.m_queue;
+  image->host = job.m_queue.m_host;
+  image->path_prefix = job.m_queue.m_path_prefix;
   image->organisation = job.m_organisation;
   image->spec = std::make_unique<wire::JobSpecT>(job.m_spec);
   image->state = static_cast<std::int8_t>(job.m_state);
@@ -82,7 +83,8 @@
   image.time_ms = m_time_ms;
   image.epoch = m_epoch;
   image.owner = m_owner;
-  image.config = std::make_unique<wire::FleetConfigT>(m_queues.config());
+  image.config = std::make_unique<wire::FleetConfigT>(queues().config());
+  image.former_queues = m_queues.FormerQueues();
   // Active jobs come first, in the order of acceptance: Load numbers them in
   // the order of the image.
   for (const auto& [number, id] : m_active) {
@@ -93,6 +95,13 @@
       image.jobs.push_back(ToImage(job));
     }
   }
+  // Earlier versions, and later ones for a job without an address, find the
+  // queue by its name.
+  for (const auto& job_image : image.jobs) {
+    const Job& job = m_jobs.at(*ParseJobId(job_image->spec->id));
+    job_image->queue =
+        job.m_queue.empty() ? job.m_queue_name : QueueNameOf(job);
+  }
   for (const auto& [id, runner] : m_runners) {
     auto runner_image = std::make_unique<wire::RunnerImageT>();
     runner_image->record =
@@ -129,14 +138,14 @@
   m_time_ms = image->time_ms;
   m_epoch = image->epoch;
   m_owner = image->owner;
-  m_queues = image->config ? QueueTable(*image->config) : QueueTable();
-  m_organisations = organisations::OrganisationTable(m_queues.config());
+  m_queues.Load(image->config ? QueueTable(*image->config) : QueueTable(),
+                image->former_queues);
+  m_organisations = organisations::OrganisationTable(queues().config());
   m_jobs.clear();
   m_active.clear();
   m_acceptance_numbers.clear();
   m_startable.clear();
   m_periodic.clear();
-  m_unstarted.clear();
   m_job_memory.Clear();
   m_suspects.clear();
   m_usage.clear();
@@ -157,7 +166,10 @@
     const JobId id = ParseJobId(job_image->spec->id).value_or(0);
     Job& job = m_jobs[id];
     job.m_id = id;
-    job.m_queue = job_image->queue;
+    job.m_queue = {job_image->host, job_image->path_prefix};
+    if (job.m_queue.empty()) {
+      SetQueueByName(job, job_image->queue);
+    }
     job.m_organisation = job_image->organisation;
     job.SetSpec(*job_image->spec);
     job.m_state = static_cast<JobState>(job_image->state);
@@ -173,7 +185,7 @@
     if (job.m_state == JobState::kActive) {
       m_acceptance_numbers[id] = m_next_acceptance_number;
       m_active[m_next_acceptance_number++] = id;
-      m_unstarted[job.m_queue] += job.m_started ? 0 : 1;
+      m_queues.AddJob(job.m_queue, job.m_started);
       UpdateJobIndexes(job);
     }
     for (const auto& [number, occurrence] : job.m_occurrences) {
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -95,9 +95,13 @@
              : nullptr;
 }
 
-std::uint32_t WorkState::WaitingCount(const std::string& queue) const {
-  const auto count = m_unstarted.find(queue);
-  return count == m_unstarted.end() ? 0 : count->second;
+std::string WorkState::QueueNameOf(const Job& job) const {
+  const wire::QueueSpecT* const queue = FindQueue(job);
+  if (queue != nullptr) {
+    return queue->name;
+  }
+  return job.m_queue.empty() ? job.m_queue_name
+                             : job.m_queue.m_host + job.m_queue.m_path_prefix;
 }
 
 const WorkState::RunnerIndex& WorkState::RunnersOfPool(
@@ -143,14 +147,14 @@
 void WorkState::MarkStarted(Job& job) {
   if (!job.m_started) {
     job.m_started = true;
-    --m_unstarted[job.m_queue];
+    m_queues.MarkStarted(job.m_queue);
   }
 }
 
 std::string WorkState::FindIndexError() const {
   JobIndex startable;
   JobIndex periodic;
-  std::map<std::string, std::uint32_t> unstarted;
+  JobQueues queues;
   for (const auto& [number, id] : m_active) {
     const Job& job = m_jobs.at(id);
     if (job.HasStartableTask()) {
@@ -159,7 +163,7 @@
     if (job.m_opened < job.m_spec.times) {
       periodic[number] = &job;
     }
-    unstarted[job.m_queue] += job.m_started ? 0 : 1;
+    queues.AddJob(job.m_queue, job.m_started);
   }
   JobMemory job_memory;
   for (const auto& [id, job] : m_jobs) {
@@ -175,10 +179,8 @@
   if (periodic != m_periodic) {
     return "periodic jobs";
   }
-  for (const auto& [queue, count] : m_unstarted) {
-    if (count != unstarted[queue]) {
-      return "unstarted jobs of " + queue;
-    }
+  if (!queues.CountsLike(m_queues)) {
+    return "jobs by queue";
   }
   for (const TaskKey& key : m_suspects) {
     const Job* const job = FindJob(key.m_job);
@@ -240,36 +242,35 @@
 void WorkState::PutConfig(const wire::WorkBodyUnion& body,
                           ApplyResult& applied) {
   const auto& config = body.AsPutConfig()->config;
-  if (!config || config->version <= m_queues.version()) {
+  if (!config || config->version <= queues().version()) {
     return;
   }
-  QueueTable previous = std::exchange(m_queues, QueueTable(*config));
-  RenameQueues(previous);
+  m_queues.SetConfig(QueueTable(*config));
+  ResolveQueueNames();
   const organisations::OrganisationTable former = std::exchange(
-      m_organisations, organisations::OrganisationTable(m_queues.config()));
+      m_organisations, organisations::OrganisationTable(queues().config()));
   RenameOrganisations(former);
   EndJobsWithoutAttempts(applied);
   applied.m_changed = true;
 }
 
-void WorkState::RenameQueues(const QueueTable& previous) {
-  for (const auto& queue : previous.config().queues) {
-    const wire::QueueSpecT* const renamed =
-        m_queues.FindAt(queue->host, queue->path_prefix);
-    if (m_queues.Find(queue->name) != nullptr || renamed == nullptr) {
-      continue;
-    }
-    for (const auto& [number, id] : m_active) {
-      Job& job = m_jobs.at(id);
-      if (job.m_queue == queue->name) {
-        job.m_queue = renamed->name;
-      }
+void WorkState::ResolveQueueNames() {
+  for (const auto& [number, id] : m_active) {
+    Job& job = m_jobs.at(id);
+    if (job.m_queue.empty()) {
+      m_queues.RemoveJob(job.m_queue, job.m_started);
+      SetQueueByName(job, job.m_queue_name);
+      m_queues.AddJob(job.m_queue, job.m_started);
     }
-    m_unstarted[renamed->name] += m_unstarted[queue->name];
-    m_unstarted.erase(queue->name);
   }
 }
 
+void WorkState::SetQueueByName(Job& job, const std::string& name) const {
+  const wire::QueueSpecT* const queue = queues().FindByName(name);
+  job.m_queue = queue == nullptr ? QueueAddress() : AddressOf(*queue);
+  job.m_queue_name = queue == nullptr ? name : "";
+}
+
 // Without this, the jobs of a renamed organisation would be read as missing by
 // its own keys, and would not count for its cap.
 void WorkState::RenameOrganisations(
@@ -297,13 +298,20 @@
                           ApplyResult& applied) {
   const wire::AcceptJobT& accept = *body.AsAcceptJob();
   const auto id = ParseJobId(accept.job->id);
-  if (!id || m_jobs.contains(*id)) {
-    applied.m_job = id.value_or(0);
+  applied.m_job = id.value_or(0);
+  const QueueAddress queue = {accept.host, accept.path_prefix};
+  // A configuration that was applied since the call came may lack the queue.
+  const bool has_no_queue = !queue.empty() && queues().Find(queue) == nullptr;
+  if (!id || m_jobs.contains(*id) || has_no_queue) {
     return;
   }
   Job& job = m_jobs[*id];
   job.m_id = *id;
-  job.m_queue = accept.queue;
+  if (queue.empty()) {
+    SetQueueByName(job, accept.queue);
+  } else {
+    job.m_queue = queue;
+  }
   job.m_organisation = accept.organisation;
   job.SetSpec(*accept.job);
   job.m_accepted_ms = m_time_ms;
@@ -312,10 +320,9 @@
   }
   m_acceptance_numbers[*id] = m_next_acceptance_number;
   m_active[m_next_acceptance_number++] = *id;
-  ++m_unstarted[job.m_queue];
+  m_queues.AddJob(job.m_queue, job.m_started);
   UpdateJobIndexes(job);
   UpdateJobMemory(job);
-  applied.m_job = *id;
   applied.m_changed = true;
 }
 
@@ -502,7 +509,7 @@
 }
 
 bool WorkState::HasUsedAllAttempts(const Job& job, const Task& task) const {
-  const wire::QueueSpecT* const queue = m_queues.Find(job.m_queue);
+  const wire::QueueSpecT* const queue = FindQueue(job);
   return queue != nullptr && task.m_failures >= std::max(queue->attempts, 1U);
 }
 
@@ -562,9 +569,7 @@
     m_active.erase(number->second);
     m_startable.erase(number->second);
     m_periodic.erase(number->second);
-    if (!job.m_started) {
-      --m_unstarted[job.m_queue];
-    }
+    m_queues.RemoveJob(job.m_queue, job.m_started);
     m_acceptance_numbers.erase(number);
   }
   std::erase_if(m_suspects, [&](const TaskKey& suspect) {
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -84,6 +84,15 @@
 void WorkCore::ReplyCommitted(const PendingCall& waiting,
                               const jobs::ApplyResult& applied) {
   if (waiting.m_kind == wire::WorkBody::AcceptJob) {
+    if (m_state.FindJob(applied.m_job) == nullptr) {
+      // A configuration without the queue was applied before the job.
+      EventLine(Event::kJobRefused)
+          .Field("job", jobs::JobIdText(applied.m_job))
+          .Field("why", "the queue was removed")
+          .Field("config", m_state.queues().version());
+      Reply(waiting.m_source, waiting.m_call_id, wire::CallOutcome::NoQueue);
+      return;
+    }
     EventLine(Event::kJobAccepted)
         .Field("job", jobs::JobIdText(applied.m_job))
         .Field("new", applied.m_changed)
@@ -150,9 +159,9 @@
       job->m_organisation == caller.m_organisation) {
     return job;
   }
-  const bool is_of_public_queue = caller.m_organisation.empty() &&
-                                  caller.m_queue->is_public &&
-                                  job->m_queue == caller.m_queue->name;
+  const bool is_of_public_queue =
+      caller.m_organisation.empty() && caller.m_queue->is_public &&
+      job->m_queue == jobs::AddressOf(*caller.m_queue);
   return is_of_public_queue || !m_state.organisations().RequiresKeys()
              ? job
              : nullptr;
@@ -210,7 +219,7 @@
   }
   jobs::Job job;
   job.m_id = *id;
-  job.m_queue = queue->name;
+  job.m_queue = jobs::AddressOf(*queue);
   job.m_organisation = caller.m_organisation;
   job.SetSpec(*submit.job);
   if (const std::string over_cap = placement::GangOverCap(
@@ -243,6 +252,8 @@
   }
   wire::AcceptJobT accept;
   accept.queue = queue->name;
+  accept.host = job.m_queue.m_host;
+  accept.path_prefix = job.m_queue.m_path_prefix;
   accept.organisation = caller.m_organisation;
   accept.job = std::make_unique<wire::JobSpecT>(*submit.job);
   wire::WorkBodyUnion command;
@@ -265,7 +276,8 @@
   const std::string rest = read.path.substr(queue->path_prefix.size());
   if (rest.empty()) {
     Reply(source, call_id, wire::CallOutcome::Count);
-    m_replies.back().m_reply.count = m_state.WaitingCount(queue->name);
+    m_replies.back().m_reply.count =
+        m_state.WaitingCount(jobs::AddressOf(*queue));
     return;
   }
   const auto id = jobs::ParseJobId(rest);
--- a/src/node/work_core.cc
+++ b/src/node/work_core.cc
@@ -460,7 +460,7 @@
       EventLine(Event::kJobEnded)
           .Field("job", jobs::JobIdText(id))
           .Field("phase", wire::EnumNameJobPhase(job.Phase()))
-          .Field("queue", job.m_queue)
+          .Field("queue", m_state.QueueNameOf(job))
           .Field("age_ms", job.m_ended_ms - job.m_accepted_ms);
     }
     const auto waiting = m_pending_calls.find(applied.m_token);
@@ -513,7 +513,7 @@
   EventLine(Event::kTaskGivenUp, Severity::kWarning)
       .Field("task", jobs::TaskText(run.m_task))
       .Field("run", run.m_run)
-      .Field("queue", job.m_queue)
+      .Field("queue", m_state.QueueNameOf(job))
       .Field("crashed_runners", runners)
       .Field("crash_ages_ms", ages_ms);
 }
@@ -593,7 +593,7 @@
     for (const jobs::RunKey& run : placement.m_runs) {
       assign.tasks.push_back(jobs::ToWire(run));
       const jobs::Job* const job = m_state.FindJob(run.m_task.m_job);
-      const wire::QueueSpecT* const queue = m_state.queues().Find(job->m_queue);
+      const wire::QueueSpecT* const queue = m_state.FindQueue(*job);
       std::string ticket;
       if (queue != nullptr && queue->needs_advice) {
         ticket = m_advice_cache.TicketFor(run.m_task, placement.m_runner)
@@ -704,6 +704,7 @@
       .Field("usable", usable)
       .Field("assigned_runs", assigned)
       .Field("active_jobs", m_state.active().size())
+      .Field("former_queues", m_state.former_queue_count())
       .Field("applied", m_applied_index)
       .Field("config", m_state.queues().version());
   LogOrganisations();
--- a/src/placement/job_order.cc
+++ b/src/placement/job_order.cc
@@ -56,10 +56,9 @@
   ranked.reserve(state.startable().size());
   for (const auto& [number, startable] : state.startable()) {
     const jobs::Job& job = *startable;
-    const wire::QueueSpecT* const queue = state.queues().Find(job.m_queue);
+    const wire::QueueSpecT* const queue = state.FindQueue(job);
     if (queue == nullptr) {
-      // The queue was removed from the configuration: its pool is unknown.
-      continue;
+      continue;  // No configuration has had the queue: its pool is unknown.
     }
     ranked.push_back(AssessJob(job, *queue, now_ms, typical));
   }
@@ -218,7 +217,7 @@
     const jobs::Job& job = *state.FindJob(id);
     const std::int64_t used = AssignedMilli(job);
     const wire::QueueSpecT* const queue =
-        used == 0 ? nullptr : state.queues().Find(job.m_queue);
+        used == 0 ? nullptr : state.FindQueue(job);
     if (queue != nullptr && AssessJob(job, *queue, now_ms, typical).m_status >=
                                 ObjectiveStatus::kLate) {
       demands[queue->pool].m_late_used_milli += used;
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -85,7 +85,7 @@
     for (const auto& [only_suspect, crashed_ms, key] : waiting) {
       const jobs::Job& job = *state.FindJob(key.m_job);
       Pool& pool = *FindPool(job);
-      PlaceSuspect({&job, state.queues().Find(job.m_queue)}, key,
+      PlaceSuspect({&job, state.FindQueue(job)}, key,
                    job.m_occurrences.at(key.m_occurrence).m_steps[key.m_step],
                    only_suspect && pool.m_keeps_jobs_apart, pool);
     }
@@ -234,8 +234,7 @@
 
   // Null if none of the pool's jobs can start.
   Pool* FindPool(const jobs::Job& job) {
-    const wire::QueueSpecT* const queue =
-        m_input.m_state.queues().Find(job.m_queue);
+    const wire::QueueSpecT* const queue = m_input.m_state.FindQueue(job);
     const auto pool =
         queue == nullptr ? m_pools.end() : m_pools.find(queue->pool);
     return pool == m_pools.end() ? nullptr : &pool->second;
--- a/tests/fake_work_group.cc
+++ b/tests/fake_work_group.cc
@@ -27,26 +27,30 @@
 constexpr Duration kMachineTimeout = Millis(1500);
 constexpr Duration kMaxInventoryTime = Millis(1500);
 constexpr Duration kLeaveInterval = Millis(1000);
-constexpr const char* kHost = "q.example";
-constexpr const char* kPrefix = "/q/";
+constexpr Duration kMoveDuration = Millis(1500);
 
-wire::FleetConfigT MakeConfig() {
+wire::FleetConfigT MakeConfig(std::uint64_t version,
+                              const std::vector<FakeRoute>& routes,
+                              const std::set<std::string>& pools) {
   wire::FleetConfigT config;
-  config.version = 1;
+  config.version = version;
   config.document = "{}";
-  auto pool = std::make_unique<wire::PoolSpecT>();
-  pool->name = "pool";
-  config.pools.push_back(std::move(pool));
-  auto queue = std::make_unique<wire::QueueSpecT>();
-  queue->name = "queue";
-  queue->host = kHost;
-  queue->path_prefix = kPrefix;
-  queue->pool = "pool";
-  queue->attempts = kMaxAttempts;
-  queue->slack_factor = 1.6;
-  queue->objective_ms = 600;
-  queue->timeout_ms = 3000;
-  config.queues.push_back(std::move(queue));
+  for (const std::string& name : pools) {
+    config.pools.push_back(std::make_unique<wire::PoolSpecT>());
+    config.pools.back()->name = name;
+  }
+  for (const FakeRoute& route : routes) {
+    auto queue = std::make_unique<wire::QueueSpecT>();
+    queue->name = route.m_name;
+    queue->host = FakeWorkGroup::kHost;
+    queue->path_prefix = route.m_prefix;
+    queue->pool = route.m_pool;
+    queue->attempts = kMaxAttempts;
+    queue->slack_factor = 1.6;
+    queue->objective_ms = 600;
+    queue->timeout_ms = 3000;
+    config.queues.push_back(std::move(queue));
+  }
   return config;
 }
 
@@ -69,6 +73,7 @@
   for (std::size_t i = 0; i < members; ++i) {
     StartMember(i);
   }
+  SetRoutes({{"queue", kPrefix, kPool}});
   m_lives.resize(runners);
   for (std::size_t i = 0; i < runners; ++i) {
     m_lives[i].m_runner_id = "i-" + std::to_string(i);
@@ -154,6 +159,7 @@
       }
     });
   }
+  CheckPool(std::stoul(runner.id().substr(2)), run);
   if (!m_submitted.contains(run.m_task.m_job)) {
     RecordViolation("start of a job that was not submitted:", run);
   }
@@ -173,6 +179,44 @@
   }
 }
 
+void FakeWorkGroup::CheckPool(std::size_t runner, const jobs::RunKey& run) {
+  const auto prefix = m_prefixes.find(run.m_task.m_job);
+  if (prefix != m_prefixes.end() &&
+      !m_pools_of_prefix[prefix->second].contains(m_lives[runner].m_pool)) {
+    RecordViolation("start in " + m_lives[runner].m_pool + " of a job of " +
+                        prefix->second + ':',
+                    run);
+  }
+}
+
+void FakeWorkGroup::SetRoutes(const std::vector<FakeRoute>& routes) {
+  std::set<std::string> pools;
+  for (const auto& pool : m_config.pools) {
+    pools.insert(pool->name);
+  }
+  for (const FakeRoute& route : routes) {
+    pools.insert(route.m_pool);
+    m_pools_of_prefix[route.m_prefix].insert(route.m_pool);
+  }
+  m_config = MakeConfig(m_config.version + 1, routes, pools);
+  if (const auto leader = Leader()) {
+    SendConfig(*leader);
+  }
+}
+
+bool FakeWorkGroup::IsConfigured() {
+  const auto leader = Leader();
+  return leader && state(*leader).queues().version() == m_config.version;
+}
+
+void FakeWorkGroup::SendConfig(std::size_t member) {
+  wire::PutConfigCallT put;
+  put.config = std::make_unique<wire::FleetConfigT>(m_config);
+  wire::CallBodyUnion config;
+  config.Set(std::move(put));
+  CallMember(member, std::move(config), nullptr);
+}
+
 void FakeWorkGroup::StartMember(std::size_t index) {
   Member& member = m_members[index];
   ++member.m_incarnation;
@@ -407,7 +451,7 @@
 fleet::Machine FakeWorkGroup::DescribeMachine(std::size_t runner) const {
   fleet::Machine machine;
   machine.m_name = "machine-" + std::to_string(runner);
-  machine.m_pool = "pool";
+  machine.m_pool = m_lives[runner].m_pool;
   machine.m_labels = {"a", "r" + std::to_string(runner / 3)};
   if (m_in_upkeep.contains(runner)) {
     machine.m_state = fleet::MachineState::kUpkeep;
@@ -704,6 +748,11 @@
       PerformActions(member);
     }
   };
+  if (request.m_action == fleet::MachineAction::kMove) {
+    const fleet::MachineResponse moved = ExecuteMove(runner, request.m_pool);
+    Schedule(m_now + Millis(20), [answer, moved] { answer(moved); });
+    return;
+  }
   if (m_faults.m_max_machine_delay == Duration::zero()) {
     Schedule(m_now + Millis(20),
              [answer] { answer(fleet::MachineResponse::kOk); });
@@ -735,6 +784,25 @@
   });
 }
 
+fleet::MachineResponse FakeWorkGroup::ExecuteMove(std::size_t runner,
+                                                  const std::string& pool) {
+  if (m_lives[runner].m_pool == pool) {
+    return fleet::MachineResponse::kOk;
+  }
+  if (m_lives[runner].m_is_down || m_lives[runner].m_is_leaving) {
+    return fleet::MachineResponse::kBusy;
+  }
+  PowerOffRunner(runner);
+  m_lives[runner].m_pool = pool;
+  Schedule(m_now + kMoveDuration,
+           [this, runner, life = m_lives[runner].m_count] {
+             if (m_lives[runner].m_count == life) {
+               PowerOnRunner(runner);
+             }
+           });
+  return fleet::MachineResponse::kOk;
+}
+
 void FakeWorkGroup::ExecuteMachineRequest(std::size_t runner) {
   if (!m_upkeep_started.insert(runner).second) {
     return;  // A repeated request has no effect.
@@ -900,7 +968,7 @@
   report.runner->machine = "machine-" + std::to_string(index);
   report.runner->address = "127.0.0." + std::to_string(index + 1) + ':' +
                            std::to_string(m_lives[index].m_port);
-  report.runner->pool = "pool";
+  report.runner->pool = m_lives[index].m_pool;
   report.runner->labels = {"a", "r" + std::to_string(index / 3)};
   report.runner->cpu_milli = 8000;
   report.runner->memory_mb = 8000;
@@ -918,12 +986,9 @@
   }
   CallMember(*leader, std::move(body), nullptr);
   if (m_members[*leader].m_core &&
-      m_members[*leader].m_core->state().queues().version() == 0) {
-    wire::PutConfigCallT put;
-    put.config = std::make_unique<wire::FleetConfigT>(MakeConfig());
-    wire::CallBodyUnion config;
-    config.Set(std::move(put));
-    CallMember(*leader, std::move(config), nullptr);
+      m_members[*leader].m_core->state().queues().version() !=
+          m_config.version) {
+    SendConfig(*leader);
   }
 }
 
@@ -943,13 +1008,13 @@
   PerformActions(index);
 }
 
-void FakeWorkGroup::Submit() {
+void FakeWorkGroup::Submit(const std::string& prefix) {
   const auto id = m_next_job++;
   wire::SubmitCallT submit;
   submit.job = std::make_unique<wire::JobSpecT>();
   submit.job->id = jobs::JobIdText(id);
   submit.host = kHost;
-  submit.path = kPrefix + submit.job->id;
+  submit.path = prefix + submit.job->id;
   submit.job->spec = "work";
   const std::size_t steps = 1 + m_random() % 2;
   for (std::size_t i = 0; i < steps; ++i) {
@@ -964,6 +1029,7 @@
     submit.job->steps.push_back(std::move(step));
   }
   m_submitted.insert(id);
+  m_prefixes[id] = prefix;
   const Caller caller = {id, false, std::nullopt, 0};
   wire::CallBodyUnion body;
   body.Set(std::move(submit));
@@ -981,7 +1047,9 @@
   m_cancels_sent.insert(id);
   wire::CancelCallT cancel;
   cancel.host = kHost;
-  cancel.path = kPrefix + jobs::JobIdText(id);
+  const auto prefix = m_prefixes.find(id);
+  cancel.path = (prefix == m_prefixes.end() ? kPrefix : prefix->second) +
+                jobs::JobIdText(id);
   wire::CallBodyUnion body;
   body.Set(std::move(cancel));
   const Caller caller = {id, true, std::nullopt, 0};
--- a/tests/fake_work_group.h
+++ b/tests/fake_work_group.h
@@ -57,8 +57,19 @@
   Millis m_born_shift = Millis(0);  // Of the machine's clock at its start.
 };
 
+/** A queue of the configuration; all of them have the same host. */
+struct FakeRoute {
+  std::string m_name;
+  std::string m_prefix;
+  std::string m_pool;
+};
+
 class FakeWorkGroup {
  public:
+  static constexpr const char* kHost = "q.example";
+  static constexpr const char* kPrefix = "/q/";
+  static constexpr const char* kPool = "pool";
+
   FakeWorkGroup(std::size_t members, std::size_t runners, std::uint64_t seed);
   FakeWorkGroup(const FakeWorkGroup&) = delete;
   FakeWorkGroup& operator=(const FakeWorkGroup&) = delete;
@@ -118,14 +129,30 @@
   /** @return the number of upkeeps that the platform has begun. */
   std::size_t upkeep_count() const { return m_upkeep_count; }
 
+  /**
+   * Sends the next configuration, again and again until a leader has it. Until
+   * the first call, the only queue is at kPrefix, and its pool is kPool.
+   */
+  void SetRoutes(const std::vector<FakeRoute>& routes);
+  /** @return whether the leader has the last configuration. */
+  bool IsConfigured();
+  /** Lets the runner's machine belong to the pool, before it first reports. */
+  void SetPool(std::size_t runner, const std::string& pool) {
+    m_lives[runner].m_pool = pool;
+  }
+
   /** Submits a job; accepted() contains it once a member acknowledged it. */
-  void Submit();
+  void Submit(const std::string& prefix = kPrefix);
   /** Cancels the accepted job with the highest id. */
   void CancelSome();
 
   std::size_t members() const { return m_members.size(); }
   std::size_t runners() const { return m_runners.size(); }
   const std::set<jobs::JobId>& accepted() const { return m_accepted; }
+  /** @return the prefix that the job was submitted to. */
+  const std::string& PrefixOf(jobs::JobId job) const {
+    return m_prefixes.at(job);
+  }
   /** Jobs whose cancellation was acknowledged. */
   const std::set<jobs::JobId>& cancelled() const { return m_cancelled; }
   /** Jobs that a caller requested to cancel, acknowledged or not. */
@@ -184,6 +211,7 @@
     std::uint32_t m_port = 1;
     Millis m_born_shift = Millis(0);
     RunnerCut m_cut = RunnerCut::kNone;
+    std::string m_pool = kPool;
   };
 
   void Schedule(Instant when, std::function<void()> event);
@@ -203,6 +231,10 @@
   void OnMachineRequest(std::size_t member,
                         const fleet::MachineRequest& request);
   void ExecuteMachineRequest(std::size_t runner);
+  fleet::MachineResponse ExecuteMove(std::size_t runner,
+                                     const std::string& pool);
+  void SendConfig(std::size_t member);
+  void CheckPool(std::size_t runner, const jobs::RunKey& run);
   void ReadInventory(std::size_t member);
   fleet::Machine DescribeMachine(std::size_t runner) const;
   void ResetHolds(std::size_t runner);
@@ -234,6 +266,10 @@
   std::multimap<Instant, std::function<void()>> m_events;
   std::set<std::pair<std::size_t, std::size_t>> m_disconnected;
   std::map<std::uint64_t, Caller> m_callers;  // By call id.
+  wire::FleetConfigT m_config;                // The last one that was sent.
+  // Every pool that a configuration gave to a prefix.
+  std::map<std::string, std::set<std::string>> m_pools_of_prefix;
+  std::map<jobs::JobId, std::string> m_prefixes;  // Of the jobs of Submit.
   std::set<jobs::JobId> m_submitted;
   std::set<jobs::JobId> m_accepted;
   std::set<jobs::JobId> m_cancelled;
--- a/tests/job_starts_test.cc
+++ b/tests/job_starts_test.cc
@@ -17,7 +17,7 @@
 constexpr std::uint64_t kSeeds = 20;
 // Longer than the leases of runners.
 constexpr Duration kLeasesEnd = Millis(9000);
-constexpr const char* kQueue = "queue";
+const jobs::QueueAddress kQueue = {"q.example", "/q/"};
 
 class JobStartsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobStartsTest);
@@ -257,7 +257,7 @@
     });
     CPPUNIT_ASSERT(!IsAssigned(Run(kJob)));
     CPPUNIT_ASSERT(!IsStarted());
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("queue"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kAddress));
   }
 
   // Guards against an owner that ends before its record is in the log.
--- a/tests/organisations_test.cc
+++ b/tests/organisations_test.cc
@@ -371,13 +371,13 @@
                            const std::string& organisation) {
     jobs::Job job;
     job.m_id = id;
-    job.m_queue = "queue";
+    const wire::QueueSpecT& queue = *m_state->queues().FindByName("queue");
+    job.m_queue = jobs::AddressOf(queue);
     job.m_organisation = organisation;
     wire::JobSpecT spec;
     spec.steps.push_back(MakeStep(1, 1000));
     job.SetSpec(spec);
-    return control.Decide(*m_state->queues().Find("queue"), job,
-                          Instant() + std::chrono::hours(1));
+    return control.Decide(queue, job, Instant() + std::chrono::hours(1));
   }
 
   static std::unique_ptr<wire::StepSpecT> MakeStep(std::uint64_t count,
--- a/tests/owner_and_runners.h
+++ b/tests/owner_and_runners.h
@@ -31,6 +31,7 @@
   static constexpr std::uint64_t kBornMs = 1000;
   static constexpr std::uint32_t kRunnerCount = 3;
   static constexpr Duration kStep = Millis(20);
+  inline static const jobs::QueueAddress kAddress = {"q.example", "/q/"};
 
   void setUp() override {
     m_now = Instant() + std::chrono::hours(1);
@@ -40,6 +41,7 @@
     m_removed.clear();
     m_runners.clear();
     m_state = std::make_unique<jobs::WorkState>();
+    ApplyConfig();
     m_dispatcher = std::make_unique<Dispatcher>(*m_state, DispatcherOptions());
     for (std::uint32_t i = 0; i < kRunnerCount; ++i) {
       Boot(Id(i), kBornMs);
@@ -113,7 +115,8 @@
 
   void AcceptJob(jobs::JobId job, std::uint16_t tasks) {
     wire::AcceptJobT accept;
-    accept.queue = "queue";
+    accept.host = kAddress.m_host;
+    accept.path_prefix = kAddress.m_path_prefix;
     accept.job = std::make_unique<wire::JobSpecT>();
     accept.job->id = jobs::JobIdText(job);
     accept.job->steps.push_back(std::make_unique<wire::StepSpecT>());
@@ -135,6 +138,22 @@
     Apply(std::move(assign));
   }
 
+  /** Before the dispatcher exists. */
+  void ApplyConfig() {
+    wire::PutConfigT put;
+    put.config = std::make_unique<wire::FleetConfigT>();
+    put.config->version = 1;
+    auto queue = std::make_unique<wire::QueueSpecT>();
+    queue->host = kAddress.m_host;
+    queue->path_prefix = kAddress.m_path_prefix;
+    queue->pool = "pool";
+    queue->attempts = 3;
+    put.config->queues.push_back(std::move(queue));
+    wire::WorkCommandT command;
+    command.body.Set(std::move(put));
+    m_state->Apply(command, ++m_log_index);
+  }
+
   /** The runner carries the call out now. */
   RunnerAnswer Execute(const RunnerCall& call) {
     return m_runners.at(call.m_runner)
--- a/tests/work_calls_test.cc
+++ b/tests/work_calls_test.cc
@@ -26,6 +26,7 @@
 class WorkCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkCallsTest);
   CPPUNIT_TEST(JobIsFoundAfterItsQueueWasRenamed);
+  CPPUNIT_TEST(JobOfAQueueThatIsRemovedMeanwhileIsNotAccepted);
   CPPUNIT_TEST(EndedJobIsFoundAfterTheWallClockJumped);
   CPPUNIT_TEST(EndedJobIsForgottenInTheEnd);
   CPPUNIT_TEST(IdleRunnerThatLeavesIsRemovedAtOnce);
@@ -58,10 +59,27 @@
     PutConfig(2, "renamed");
     CPPUNIT_ASSERT(Read().outcome == wire::CallOutcome::Found);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1},
-                         m_core->state().WaitingCount("renamed"));
+                         m_core->state().WaitingCount({kHost, kPrefix}));
     CPPUNIT_ASSERT_EQUAL(std::string(), m_core->state().FindIndexError());
-    CPPUNIT_ASSERT(m_core->state().queues().Find(
-                       m_core->state().FindJob(kJob)->m_queue) != nullptr);
+    const wire::QueueSpecT* const queue =
+        m_core->state().FindQueue(*m_core->state().FindJob(kJob));
+    CPPUNIT_ASSERT(queue != nullptr && queue->name == "renamed");
+  }
+
+  // Guards against an acknowledged job that nothing runs: the configuration
+  // without its queue comes into force between the call and the job's entry.
+  void JobOfAQueueThatIsRemovedMeanwhileIsNotAccepted() {
+    wire::PutConfigCallT without = MakeConfig(2, "other");
+    without.config->queues.back()->path_prefix = "/other/";
+    m_syncs = false;
+    Send(std::move(without));
+    const std::uint64_t submit = Send(MakeSubmit(""));
+    CPPUNIT_ASSERT(!TakeReply(submit));
+    m_syncs = true;
+    Sync();
+    const std::optional<wire::CallReplyT> reply = TakeReply(submit);
+    CPPUNIT_ASSERT(reply && reply->outcome == wire::CallOutcome::NoQueue);
+    CPPUNIT_ASSERT(m_core->state().jobs().empty());
   }
 
   // Guards against retention by wall clock times of different readings: a jump
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -13,12 +13,13 @@
 
 constexpr std::uint64_t kNowMs = 1'700'000'000'000;
 constexpr std::uint64_t kSeeds = 300;
+const QueueAddress kShort = {"h.example", "/q/"};
 
 class WorkStateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkStateTest);
   CPPUNIT_TEST(JobRunsStepsInDependencyOrder);
   CPPUNIT_TEST(JobFailsAfterLastAttempt);
-  CPPUNIT_TEST(FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob);
+  CPPUNIT_TEST(AttemptsOfTheFormerQueueHoldWhileItIsAbsent);
   CPPUNIT_TEST(EndOfOlderRunIsIgnored);
   CPPUNIT_TEST(AssignmentThatIsLostIsNoStart);
   CPPUNIT_TEST(ListedEndIsAStart);
@@ -89,26 +90,33 @@
     CPPUNIT_ASSERT(AssignRuns("r", {MakeRun(1, 0, 0, 3)}).m_assigned.empty());
   }
 
-  // Guards against a job that fails after fewer runs than its queue allows: a
-  // configuration without the queue says nothing about its attempts.
-  void FailedRunWhileTheQueueIsAbsentDoesNotEndTheJob() {
+  // Guards against a job that fails after fewer runs than its queue allows, and
+  // one that runs more often: a configuration without the queue says nothing
+  // about its attempts, so those of the last one with it hold.
+  void AttemptsOfTheFormerQueueHoldWhileItIsAbsent() {
     AcceptJob(1, {2});
-    AssignRuns("r", {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1)});
+    AcceptJob(2, {1});
+    AssignRuns("r",
+               {MakeRun(1, 0, 0, 1), MakeRun(1, 0, 1, 1), MakeRun(2, 0, 0, 1)});
     wire::PutConfigT without;
     without.config = MakeConfig(4);
     without.config->queues.clear();
     Apply(std::move(without));
     RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Failed, 1);
+    RecordEnd("r", MakeRun(2, 0, 0, 1), wire::EndKind::Failed, 2);
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
-    // The last attempt that the queue allows ends while the queue is absent.
+    // The last attempt that the queue allowed ends while the queue is absent.
     AssignRuns("r", {MakeRun(1, 0, 0, 2)});
-    RecordEnd("r", MakeRun(1, 0, 0, 2), wire::EndKind::Failed, 2);
-    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
+    RecordEnd("r", MakeRun(1, 0, 0, 2), wire::EndKind::Failed, 3);
+    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
+    // The queue comes back with fewer attempts than the task has used.
+    CPPUNIT_ASSERT(Phase(2) == wire::JobPhase::Running);
     wire::PutConfigT with;
     with.config = MakeConfig(5);
+    with.config->queues[0]->attempts = 1;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          Apply(std::move(with)).m_jobs_ended.size());
-    CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Failed);
+    CPPUNIT_ASSERT(Phase(2) == wire::JobPhase::Failed);
   }
 
   // Guards against a job that leaves the count of waiting ones although its
@@ -118,14 +126,14 @@
     AcceptJob(1, {1});
     AssignRuns("r", {MakeRun(1, 0, 0, 1)});
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Queued);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kShort));
     RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0);
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Queued);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kShort));
     wire::CancelJobT cancel;
     cancel.job = 1;
     Apply(cancel);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount(kShort));
   }
 
   void ListedEndIsAStart() {
@@ -139,7 +147,7 @@
                                    how != wire::EndKind::Lost,
                                    m_state->FindJob(id)->m_started);
     }
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kShort));
     CPPUNIT_ASSERT_EQUAL(std::string(), m_state->FindIndexError());
   }
 
@@ -161,7 +169,7 @@
     WorkState copy;
     CPPUNIT_ASSERT(copy.Load(m_state->Image()));
     CPPUNIT_ASSERT(copy.FindJob(1)->m_started);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, copy.WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, copy.WaitingCount(kShort));
   }
 
   // Guards against jobs that wait again after an update, because the log of an
@@ -171,7 +179,7 @@
     AssignRuns("r", {MakeRun(1, 0, 0, 1)});
     RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0);
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount("short"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount(kShort));
   }
 
   void EndOfOlderRunIsIgnored() {
@@ -438,7 +446,8 @@
         const wire::QueueSpecT* const routed = table.Route(host, path);
         CPPUNIT_ASSERT_EQUAL(expected == nullptr, routed == nullptr);
         CPPUNIT_ASSERT(expected == nullptr || routed->name == expected->name);
-        const wire::QueueSpecT* const found = table.FindAt(host, path);
+        const wire::QueueSpecT* const found =
+            table.Find({NormalizeHost(host), path});
         CPPUNIT_ASSERT_EQUAL(
             used.contains(
                 {host == std::string("a.EXAMPLE:80") ? "A.example" : host,
@@ -478,6 +487,10 @@
     config = MakeConfig(4);
     config->queues[0]->path_prefix = config->queues[1]->path_prefix;
     CPPUNIT_ASSERT(!ProblemOf(*config).empty());
+    // Names do not identify queues.
+    config = MakeConfig(4);
+    config->queues[0]->name = config->queues[1]->name;
+    CPPUNIT_ASSERT_EQUAL(std::string(), ProblemOf(*config));
   }
 
   void PeriodicJobOpensOccurrences() {
@@ -819,6 +832,8 @@
   void AcceptPeriodicJob(JobId id, std::uint32_t times) {
     wire::AcceptJobT accept;
     accept.queue = "short";
+    accept.host = kShort.m_host;
+    accept.path_prefix = kShort.m_path_prefix;
     accept.job = std::make_unique<wire::JobSpecT>();
     accept.job->id = JobIdText(id);
     accept.job->times = times;
@@ -872,6 +887,8 @@
                                   const std::vector<std::uint32_t>& widths) {
     wire::AcceptJobT accept;
     accept.queue = "short";
+    accept.host = kShort.m_host;
+    accept.path_prefix = kShort.m_path_prefix;
     accept.job = std::make_unique<wire::JobSpecT>();
     accept.job->id = JobIdText(id);
     for (std::size_t i = 0; i < widths.size(); ++i) {
