Let jobs belong to the key of their organisation, not to its name

Callers of organisations whose names change places would get 410 for their own jobs, and could read and cancel those of the other one; likewise when a name is used again, or an organisation comes back under another name.

Cause: a job held the name of its organisation, and RenameOrganisations followed it only if the former name was gone and the new one had not been there.

Change: a job holds the digest of the key that it came with. Each configuration finds its holder anew: by this key, else by another key that the organisation had, else by a name that stays. An organisation that is gone has a label until a key of it comes back. The usage of organisations is counted again then. A job whose key is removed while its entry is on the way is not accepted (401).

--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -76,6 +76,7 @@
   std::string m_queue_name;
   // The organisation whose key submitted it; empty: none.
   std::string m_organisation;
+  std::string m_key_digest;  // As Holder::m_key.
   wire::JobSpecT m_spec;
   JobState m_state = JobState::kActive;
   // Whether a runner is known to have started a task. A run that is only
--- a/include/bronzebarrow/jobs/work_state.h
+++ b/include/bronzebarrow/jobs/work_state.h
@@ -25,7 +25,9 @@
 struct ApplyResult {
   std::uint64_t m_token = 0;  // Token of the command.
   wire::WorkBody m_kind = wire::WorkBody::NONE;
-  bool m_changed = false;       // Whether the command had an effect.
+  bool m_changed = false;  // Whether the command had an effect.
+  // AcceptJob: the configuration lacks the queue, so the job is not stored.
+  bool m_has_no_queue = false;
   JobId m_job = 0;              // Job that the command refers to; 0: none.
   std::string m_runner;         // Runner that it refers to; empty: none.
   std::uint64_t m_born_ms = 0;  // Start of that runner, if it was removed.
@@ -178,9 +180,8 @@
   void ResolveQueueNames();
   // Sets the queue of a job that an earlier version stored.
   void SetQueueByName(Job& job, const std::string& name) const;
-  // Moves jobs and usage of organisations that have another name than in
-  // `former` to the new name.
-  void RenameOrganisations(const organisations::OrganisationTable& former);
+  // Gives all jobs to whom they belong now, and updates the usage.
+  void UpdateHolders(const organisations::OrganisationTable& former);
   // Adds the task's resources, `times` times, to its organisation's usage.
   void AddUsage(const TaskKey& task, const wire::StepSpecT& step,
                 std::int64_t times);
--- a/include/bronzebarrow/organisations/organisation_table.h
+++ b/include/bronzebarrow/organisations/organisation_table.h
@@ -2,6 +2,7 @@
 #ifndef BRONZEBARROW_ORGANISATIONS_ORGANISATION_TABLE_H_
 #define BRONZEBARROW_ORGANISATIONS_ORGANISATION_TABLE_H_
 
+#include <compare>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +34,20 @@
   Resources m_cap;      // In each dimension, 0 means no limit.
 };
 
+/**
+ * Whom a job belongs to. The name is a label, which a configuration may change
+ * or give to another customer; the key tells customers apart. See
+ * docs/decisions/0011-what-a-job-belongs-to.md.
+ */
+struct Holder {
+  std::string m_organisation;  // Its name in the configuration in force.
+  // Digest of the key that the job came with, or of another one of the
+  // organisation since that was removed; empty if no key is known.
+  std::string m_key;
+
+  auto operator<=>(const Holder&) const = default;
+};
+
 /** Lookup takes constant time; keys are compared in constant time. */
 class OrganisationTable {
  public:
@@ -55,17 +70,21 @@
   /** @return no limit for an unknown organisation. */
   Resources CapOf(const std::string& name) const;
   /**
-   * @return new names by former name, of organisations whose name is gone and
-   * one of whose keys belongs to an organisation that is new here
+   * @return who holds here what `holder` held under the table before: by its
+   * key, else by any other key that its organisation had, else by name if the
+   * name was there before as well. An organisation that is gone gets a label
+   * that no other one can have, until its key comes back.
    */
-  std::map<std::string, std::string> RenamedSince(
-      const OrganisationTable& former) const;
+  Holder HolderSince(const Holder& holder,
+                     const OrganisationTable& former) const;
 
  private:
   bool m_requires_keys = false;
   std::map<std::string, Organisation> m_organisations;  // By name.
   // Names by digest of a key.
   std::unordered_map<std::string, std::string> m_names_by_key;
+  // The same, in the order of the names.
+  std::map<std::string, std::vector<std::string>> m_keys_by_name;
 };
 
 }  // namespace bronzebarrow::organisations
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -13,6 +13,7 @@
   image->host = job.m_queue.m_host;
   image->path_prefix = job.m_queue.m_path_prefix;
   image->organisation = job.m_organisation;
+  image->key_digest = job.m_key_digest;
   image->spec = std::make_unique<wire::JobSpecT>(job.m_spec);
   image->state = static_cast<std::int8_t>(job.m_state);
   image->started = job.m_started;
@@ -171,6 +172,7 @@
       SetQueueByName(job, job_image->queue);
     }
     job.m_organisation = job_image->organisation;
+    job.m_key_digest = job_image->key_digest;
     job.SetSpec(*job_image->spec);
     job.m_state = static_cast<JobState>(job_image->state);
     job.m_started = job_image->started;
--- a/src/jobs/work_state.cc
+++ b/src/jobs/work_state.cc
@@ -249,7 +249,7 @@
   ResolveQueueNames();
   const organisations::OrganisationTable former = std::exchange(
       m_organisations, organisations::OrganisationTable(queues().config()));
-  RenameOrganisations(former);
+  UpdateHolders(former);
   EndJobsWithoutAttempts(applied);
   applied.m_changed = true;
 }
@@ -272,24 +272,29 @@
 }
 
 // Without this, the jobs of a renamed organisation would be read as missing by
-// its own keys, and would not count for its cap.
-void WorkState::RenameOrganisations(
-    const organisations::OrganisationTable& former) {
-  const auto renamed = m_organisations.RenamedSince(former);
-  if (renamed.empty()) {
-    return;
-  }
+// its own keys, or be shown to another one that has its name now.
+void WorkState::UpdateHolders(const organisations::OrganisationTable& former) {
+  std::map<organisations::Holder, organisations::Holder> holders;
   for (auto& [id, job] : m_jobs) {
-    const auto name = renamed.find(job.m_organisation);
-    if (name != renamed.end()) {
-      job.m_organisation = name->second;
+    if (job.m_organisation.empty()) {
+      continue;
+    }
+    const organisations::Holder before = {job.m_organisation, job.m_key_digest};
+    auto after = holders.find(before);
+    if (after == holders.end()) {
+      after =
+          holders.emplace(before, m_organisations.HolderSince(before, former))
+              .first;
     }
+    job.m_organisation = after->second.m_organisation;
+    job.m_key_digest = after->second.m_key;
   }
-  for (const auto& [before, after] : renamed) {
-    const auto used = m_usage.find(before);
-    if (used != m_usage.end()) {
-      m_usage[after].Add(used->second, 1);
-      m_usage.erase(before);
+  m_usage.clear();
+  for (const auto& [id, runner] : m_runners) {
+    for (const auto& [task, run] : runner.m_assigned) {
+      if (const wire::StepSpecT* const step = FindStep(task)) {
+        AddUsage(task, *step, 1);
+      }
     }
   }
 }
@@ -300,9 +305,15 @@
   const auto id = ParseJobId(accept.job->id);
   applied.m_job = id.value_or(0);
   const QueueAddress queue = {accept.host, accept.path_prefix};
-  // A configuration that was applied since the call came may lack the queue.
-  const bool has_no_queue = !queue.empty() && queues().Find(queue) == nullptr;
-  if (!id || m_jobs.contains(*id) || has_no_queue) {
+  // A configuration that was applied since the call came may lack the queue or
+  // the key, or have other names for them.
+  applied.m_has_no_queue = !queue.empty() && queues().Find(queue) == nullptr;
+  const organisations::Organisation* const organisation =
+      m_organisations.FindByKey(accept.key_digest);
+  const bool has_no_key = !accept.key_digest.empty() &&
+                          organisation == nullptr &&
+                          m_organisations.RequiresKeys();
+  if (!id || m_jobs.contains(*id) || applied.m_has_no_queue || has_no_key) {
     return;
   }
   Job& job = m_jobs[*id];
@@ -312,7 +323,9 @@
   } else {
     job.m_queue = queue;
   }
-  job.m_organisation = accept.organisation;
+  job.m_organisation =
+      organisation == nullptr ? accept.organisation : organisation->m_name;
+  job.m_key_digest = accept.key_digest;
   job.SetSpec(*accept.job);
   job.m_accepted_ms = m_time_ms;
   if (job.m_spec.times == 0) {
--- a/src/node/work_calls.cc
+++ b/src/node/work_calls.cc
@@ -85,12 +85,14 @@
                               const jobs::ApplyResult& applied) {
   if (waiting.m_kind == wire::WorkBody::AcceptJob) {
     if (m_state.FindJob(applied.m_job) == nullptr) {
-      // A configuration without the queue was applied before the job.
       EventLine(Event::kJobRefused)
           .Field("job", jobs::JobIdText(applied.m_job))
-          .Field("why", "the queue was removed")
+          .Field("why", applied.m_has_no_queue ? "the queue was removed"
+                                               : "the key was removed")
           .Field("config", m_state.queues().version());
-      Reply(waiting.m_source, waiting.m_call_id, wire::CallOutcome::NoQueue);
+      Reply(waiting.m_source, waiting.m_call_id,
+            applied.m_has_no_queue ? wire::CallOutcome::NoQueue
+                                   : wire::CallOutcome::Unauthorised);
       return;
     }
     EventLine(Event::kJobAccepted)
@@ -255,6 +257,7 @@
   accept.host = job.m_queue.m_host;
   accept.path_prefix = job.m_queue.m_path_prefix;
   accept.organisation = caller.m_organisation;
+  accept.key_digest = caller.m_organisation.empty() ? "" : submit.key_digest;
   accept.job = std::make_unique<wire::JobSpecT>(*submit.job);
   wire::WorkBodyUnion command;
   command.Set(std::move(accept));
--- a/src/organisations/organisation_table.cc
+++ b/src/organisations/organisation_table.cc
@@ -12,6 +12,9 @@
 
 // 256 bits: two keys never have the same digest in practice.
 constexpr std::size_t kDigestBytes = 32;
+// Of the label of an organisation that the configuration lacks. The control
+// character keeps it apart from names.
+constexpr const char* kFormerSuffix = " (former)\x1f";
 
 }  // namespace
 
@@ -62,8 +65,10 @@
     organisation.m_cap = {static_cast<std::int64_t>(listed->cap_cpu_milli),
                           static_cast<std::int64_t>(listed->cap_memory_mb),
                           static_cast<std::int64_t>(listed->cap_gpu)};
+    std::vector<std::string>& keys = m_keys_by_name[listed->name];
     for (const std::string& digest : listed->key_digests) {
       m_names_by_key[digest] = listed->name;
+      keys.push_back(digest);
     }
   }
 }
@@ -96,17 +101,34 @@
   return organisation == nullptr ? Resources() : organisation->m_cap;
 }
 
-std::map<std::string, std::string> OrganisationTable::RenamedSince(
-    const OrganisationTable& former) const {
-  std::map<std::string, std::string> renamed;
-  for (const auto& [digest, before] : former.m_names_by_key) {
-    const auto after = m_names_by_key.find(digest);
-    if (after != m_names_by_key.end() && after->second != before &&
-        Find(before) == nullptr && former.Find(after->second) == nullptr) {
-      renamed[before] = after->second;
+Holder OrganisationTable::HolderSince(const Holder& holder,
+                                      const OrganisationTable& former) const {
+  if (const Organisation* const same = FindByKey(holder.m_key)) {
+    return {same->m_name, holder.m_key};
+  }
+  const std::string& name = holder.m_organisation;
+  const auto former_keys = former.m_keys_by_name.find(name);
+  if (former_keys == former.m_keys_by_name.end()) {
+    return holder;  // Gone already, or never known.
+  }
+  Holder successor;
+  for (const std::string& key : former_keys->second) {
+    const Organisation* const found = FindByKey(key);
+    if (found != nullptr &&
+        (successor.m_key.empty() || found->m_name == name)) {
+      successor = {found->m_name, key};
     }
   }
-  return renamed;
+  if (!successor.m_key.empty()) {
+    return successor;
+  }
+  const auto keys = m_keys_by_name.find(name);
+  if (keys != m_keys_by_name.end()) {
+    return {name, keys->second.empty() ? holder.m_key : keys->second.front()};
+  }
+  // Without a key it can only come back by its name.
+  return holder.m_key.empty() ? holder
+                              : Holder{name + kFormerSuffix, holder.m_key};
 }
 
 }  // namespace bronzebarrow::organisations
--- a/tests/process_keys.sh
+++ b/tests/process_keys.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Keys of organisations through real processes: three members and an entry. A key
 # that a configuration takes away stays away through a kill of the leader and a
-# member that starts again from its data; no key stands in a log or a metric.
+# member that starts again from its data; jobs stay with their key when its name goes to
+# another customer; no key stands in a log or a metric.
 set -euo pipefail
 . "$(dirname "$0")/platform_processes.sh"
 
@@ -9,12 +10,13 @@
 start e1 entry 127.0.0.4 true
 
 fail() { echo "FAILED: $*"; tail -n 5 "$folder"/*.log; exit 1; }
-put_config() { # put_config VERSION KEYS
-  local body
+put_config() { # put_config VERSION KEYS [NAME KEYS-OF-ANOTHER-ONE]
+  local body other=""
+  [ -z "${4:-}" ] || other=",{\"name\":\"a\",\"api_keys\":[$4],\"weight\":1}"
   body="{\"version\":$1,\"routes\":[{\"name\":\"r\",\"host\":\"q.example\",\"path_prefix\":\"/q/\",
     \"timeout_ms\":3000,\"service\":\"s\",\"attempts\":2,\"slack_factor\":1.6,\"target_duration_ms\":600}],
     \"services\":[{\"name\":\"s\"}],
-    \"tenants\":[{\"name\":\"a\",\"api_keys\":[$2],\"weight\":1,\"cap\":{\"cpu\":1000}}]}"
+    \"tenants\":[{\"name\":\"${3:-a}\",\"api_keys\":[$2],\"weight\":1,\"cap\":{\"cpu\":1000}}$other]}"
   for _ in $(seq 100); do
     for i in 1 2 3; do
       [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -d "$body" \
@@ -69,6 +71,10 @@
 expect 401 "the revoked key after a restart" GET "$first" "$old"
 expect 200 "the other key after a restart" GET "$first" "$new"
 
+put_config 4 "\"$new\"" b '"secretofanotherone"'
+expect 410 "a job of the customer that had the name before" GET "$first" secretofanotherone
+expect 200 "the job under the new name" GET "$first" "$new"
+
 for name in m1 m2 m3; do
   curl -s -m 1 "http://127.0.0.${name#m}:9464/metrics" >>"$folder/metrics" || true
 done
--- a/tests/work_calls_test.cc
+++ b/tests/work_calls_test.cc
@@ -36,6 +36,11 @@
   CPPUNIT_TEST(RevokedKeyEndsWithTheConfiguration);
   CPPUNIT_TEST(OtherOrganisationsDoNotFindAJob);
   CPPUNIT_TEST(JobBeingAcceptedIsKeptFromOthers);
+  CPPUNIT_TEST(OrganisationsThatExchangeTheirNamesKeepTheirJobs);
+  CPPUNIT_TEST(OrganisationThatComesBackFindsItsJobs);
+  CPPUNIT_TEST(JobsFollowTheKeysOfTheirOrganisation);
+  CPPUNIT_TEST(JobBelongsToTheKeyThatItCameWith);
+  CPPUNIT_TEST(JobOfAKeyThatIsRemovedMeanwhileIsNotAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -202,7 +207,86 @@
     CPPUNIT_ASSERT(TakeReply(submit)->outcome == wire::CallOutcome::Accepted);
   }
 
+  // Guards against jobs that another customer may read and cancel, and that
+  // their own caller is told do not exist.
+  void OrganisationsThatExchangeTheirNamesKeepTheirJobs() {
+    PutOrganisations(2, {{"a", "key-a"}, {"b", "key-b"}});
+    CPPUNIT_ASSERT(SubmitAs("key-a").outcome == wire::CallOutcome::Accepted);
+    for (std::uint64_t version = 3; version < 7; ++version) {
+      const bool exchanged = version % 2 == 1;
+      PutOrganisations(version, {{exchanged ? "b" : "a", "key-a"},
+                                 {exchanged ? "a" : "b", "key-b"}});
+      CheckOnlyHolder("key-a", "key-b");
+    }
+  }
+
+  void OrganisationThatComesBackFindsItsJobs() {
+    PutOrganisations(2, {{"a", "key-a"}, {"b", "key-b"}});
+    CPPUNIT_ASSERT(SubmitAs("key-a").outcome == wire::CallOutcome::Accepted);
+    PutOrganisations(3, {{"b", "key-b"}});
+    PutOrganisations(4, {{"b", "key-b"}});
+    // The name goes to another customer.
+    PutOrganisations(5, {{"b", "key-b"}, {"a", "key-x"}});
+    CPPUNIT_ASSERT(ReadAs("key-x").outcome == wire::CallOutcome::Missing);
+    CPPUNIT_ASSERT(CancelAs("key-x").outcome == wire::CallOutcome::Missing);
+    PutOrganisations(6, {{"c", "key-a"}, {"a", "key-x"}});
+    CheckOnlyHolder("key-a", "key-x");
+  }
+
+  // Guards against jobs that are lost to their caller when keys are exchanged:
+  // the one that a job came with goes before the organisation changes its name.
+  void JobsFollowTheKeysOfTheirOrganisation() {
+    PutOrganisations(2, {{"a", "key-1"}, {"a", "key-2"}, {"b", "key-b"}});
+    CPPUNIT_ASSERT(SubmitAs("key-1").outcome == wire::CallOutcome::Accepted);
+    PutOrganisations(3, {{"a", "key-2"}, {"b", "key-b"}});
+    CheckOnlyHolder("key-2", "key-b");
+    PutOrganisations(4, {{"b", "key-b"}});
+    PutOrganisations(5, {{"c", "key-2"}, {"b", "key-b"}});
+    CheckOnlyHolder("key-2", "key-b");
+    // All keys at once, under the same name.
+    PutOrganisations(6, {{"c", "key-3"}, {"b", "key-b"}});
+    PutOrganisations(7, {{"d", "key-3"}, {"c", "key-b"}});
+    CheckOnlyHolder("key-3", "key-b");
+  }
+
+  // Guards against a job that goes to another customer, because names are
+  // exchanged while its entry is on the way.
+  void JobBelongsToTheKeyThatItCameWith() {
+    PutOrganisations(2, {{"a", "key-a"}, {"b", "key-b"}});
+    m_syncs = false;
+    Send(OrganisationsCall(3, {{"b", "key-a"}, {"a", "key-b"}}));
+    Send(MakeSubmit("key-a"));
+    m_syncs = true;
+    Sync();
+    CheckOnlyHolder("key-a", "key-b");
+  }
+
+  void JobOfAKeyThatIsRemovedMeanwhileIsNotAccepted() {
+    PutOrganisations(2, {{"a", "key-a"}, {"b", "key-b"}});
+    m_syncs = false;
+    Send(OrganisationsCall(3, {{"b", "key-b"}}));
+    const std::uint64_t submit = Send(MakeSubmit("key-a"));
+    m_syncs = true;
+    Sync();
+    CPPUNIT_ASSERT(TakeReply(submit)->outcome ==
+                   wire::CallOutcome::Unauthorised);
+    CPPUNIT_ASSERT(m_core->state().jobs().empty());
+  }
+
  private:
+  void CheckOnlyHolder(const std::string& key, const std::string& other) {
+    CPPUNIT_ASSERT(ReadAs(key).outcome == wire::CallOutcome::Found);
+    CPPUNIT_ASSERT(ReadAs(other).outcome == wire::CallOutcome::Missing);
+    CPPUNIT_ASSERT(CancelAs(other).outcome == wire::CallOutcome::Missing);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_core->state().FindIndexError());
+    jobs::WorkState copy;
+    CPPUNIT_ASSERT(copy.Load(m_core->state().Image()));
+    const jobs::Job* const job = m_core->state().FindJob(kJob);
+    CPPUNIT_ASSERT_EQUAL(job->m_organisation,
+                         copy.FindJob(kJob)->m_organisation);
+    CPPUNIT_ASSERT_EQUAL(job->m_key_digest, copy.FindJob(kJob)->m_key_digest);
+  }
+
   static std::string Path() { return kPrefix + jobs::JobIdText(kJob); }
 
   void Sync() {
@@ -309,6 +393,13 @@
       std::uint64_t version,
       const std::vector<std::pair<std::string, std::string>>& keys,
       bool is_public = false) {
+    CPPUNIT_ASSERT(Call(OrganisationsCall(version, keys, is_public)).outcome ==
+                   wire::CallOutcome::Accepted);
+  }
+  static wire::PutConfigCallT OrganisationsCall(
+      std::uint64_t version,
+      const std::vector<std::pair<std::string, std::string>>& keys,
+      bool is_public = false) {
     wire::PutConfigCallT put = MakeConfig(version, "queue");
     put.config->queues.back()->is_public = is_public;
     put.config->has_organisations = true;
@@ -322,7 +413,7 @@
       organisation->key_digests = digests;
       put.config->organisations.push_back(std::move(organisation));
     }
-    CPPUNIT_ASSERT(Call(std::move(put)).outcome == wire::CallOutcome::Accepted);
+    return put;
   }
 
   static wire::SubmitCallT MakeSubmit(const std::string& key) {
