Put the address of a queue beside the table of queues

Cause: read-through of the change. QueueAddress had a header of its own whose functions were defined elsewhere, JobQueues a function that nothing called, and the image filled the name of the queue in a second pass. Change: no behaviour. Glossary: address, former queue, holder.

--- a/include/bronzebarrow/jobs.h
+++ b/include/bronzebarrow/jobs.h
@@ -7,7 +7,6 @@
 #include "bronzebarrow/jobs/job.h"
 #include "bronzebarrow/jobs/job_memory.h"
 #include "bronzebarrow/jobs/job_queues.h"
-#include "bronzebarrow/jobs/queue_address.h"
 #include "bronzebarrow/jobs/queue_table.h"
 #include "bronzebarrow/jobs/runner.h"
 #include "bronzebarrow/jobs/task_key.h"
--- a/include/bronzebarrow/jobs/job.h
+++ b/include/bronzebarrow/jobs/job.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "bronzebarrow/jobs/crash_evidence.h"
-#include "bronzebarrow/jobs/queue_address.h"
+#include "bronzebarrow/jobs/queue_table.h"
 #include "bronzebarrow/jobs/task_key.h"
 #include "wire_generated.h"
 
--- a/include/bronzebarrow/jobs/job_queues.h
+++ b/include/bronzebarrow/jobs/job_queues.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <vector>
 
-#include "bronzebarrow/jobs/queue_address.h"
 #include "bronzebarrow/jobs/queue_table.h"
 
 namespace bronzebarrow::jobs {
@@ -24,9 +23,6 @@
 
   /** @return the queue in force, or the former one; null if there is none. */
   const wire::QueueSpecT* Find(const QueueAddress& address) const;
-  bool IsFormer(const QueueAddress& address) const {
-    return m_former.contains(address);
-  }
   std::size_t former_count() const { return m_former.size(); }
 
   // Active jobs. Each one is added and removed once, with the same address.
--- a/include/bronzebarrow/jobs/queue_table.h
+++ b/include/bronzebarrow/jobs/queue_table.h
@@ -3,6 +3,7 @@
 #ifndef BRONZEBARROW_JOBS_QUEUE_TABLE_H_
 #define BRONZEBARROW_JOBS_QUEUE_TABLE_H_
 
+#include <compare>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -10,11 +11,28 @@
 #include <string_view>
 #include <vector>
 
-#include "bronzebarrow/jobs/queue_address.h"
 #include "wire_generated.h"
 
 namespace bronzebarrow::jobs {
 
+/** @return the host without its port, in lower case. */
+std::string NormalizeHost(std::string_view host);
+
+/**
+ * What callers address, and so what jobs belong to. The name of a queue is a
+ * label: configurations change it, and give it to other queues. See
+ * docs/decisions/0011-what-a-job-belongs-to.md.
+ */
+struct QueueAddress {
+  std::string m_host;  // As NormalizeHost.
+  std::string m_path_prefix;
+
+  bool empty() const { return m_path_prefix.empty(); }
+  auto operator<=>(const QueueAddress&) const = default;
+};
+
+QueueAddress AddressOf(const wire::QueueSpecT& queue);
+
 /** @return why the configuration is invalid; empty if it is valid. */
 std::string ProblemOf(const wire::FleetConfigT& config);
 
--- a/src/jobs/work_image.cc
+++ b/src/jobs/work_image.cc
@@ -8,8 +8,12 @@
 namespace bronzebarrow::jobs {
 namespace {
 
-std::unique_ptr<wire::JobImageT> ToImage(const Job& job) {
+// The name of the queue is for earlier versions, and for a job without an
+// address.
+std::unique_ptr<wire::JobImageT> ToImage(const Job& job,
+                                         std::string queue_name) {
   auto image = std::make_unique<wire::JobImageT>();
+  image->queue = std::move(queue_name);
   image->host = job.m_queue.m_host;
   image->path_prefix = job.m_queue.m_path_prefix;
   image->organisation = job.m_organisation;
@@ -89,20 +93,14 @@
   // Active jobs come first, in the order of acceptance: Load numbers them in
   // the order of the image.
   for (const auto& [number, id] : m_active) {
-    image.jobs.push_back(ToImage(m_jobs.at(id)));
+    const Job& job = m_jobs.at(id);
+    image.jobs.push_back(ToImage(job, QueueNameOf(job)));
   }
   for (const auto& [id, job] : m_jobs) {
     if (job.m_state != JobState::kActive) {
-      image.jobs.push_back(ToImage(job));
+      image.jobs.push_back(ToImage(job, QueueNameOf(job)));
     }
   }
-  // Earlier versions, and later ones for a job without an address, find the
-  // queue by its name.
-  for (const auto& job_image : image.jobs) {
-    const Job& job = m_jobs.at(*ParseJobId(job_image->spec->id));
-    job_image->queue =
-        job.m_queue.empty() ? job.m_queue_name : QueueNameOf(job);
-  }
   for (const auto& [id, runner] : m_runners) {
     auto runner_image = std::make_unique<wire::RunnerImageT>();
     runner_image->record =
--- a/tests/work_calls_test.cc
+++ b/tests/work_calls_test.cc
@@ -207,8 +207,8 @@
     CPPUNIT_ASSERT(TakeReply(submit)->outcome == wire::CallOutcome::Accepted);
   }
 
-  // Guards against jobs that another customer may read and cancel, and that
-  // their own caller is told do not exist.
+  // Guards against jobs that another customer may read and cancel, and that are
+  // reported to their own caller as missing.
   void OrganisationsThatExchangeTheirNamesKeepTheirJobs() {
     PutOrganisations(2, {{"a", "key-a"}, {"b", "key-b"}});
     CPPUNIT_ASSERT(SubmitAs("key-a").outcome == wire::CallOutcome::Accepted);
