--- a/include/bronzebarrow/jobs/queue_table.h
+++ b/include/bronzebarrow/jobs/queue_table.h
@@ -3,12 +3,12 @@
 #ifndef BRONZEBARROW_JOBS_QUEUE_TABLE_H_
 #define BRONZEBARROW_JOBS_QUEUE_TABLE_H_
 
-#include <compare>
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "wire_generated.h"
@@ -28,7 +28,11 @@
   std::string m_path_prefix;
 
   bool empty() const { return m_path_prefix.empty(); }
-  auto operator<=>(const QueueAddress&) const = default;
+  bool operator==(const QueueAddress&) const = default;
+  bool operator<(const QueueAddress& other) const {
+    return std::tie(m_host, m_path_prefix) <
+           std::tie(other.m_host, other.m_path_prefix);
+  }
 };
 
 QueueAddress AddressOf(const wire::QueueSpecT& queue);
--- a/include/bronzebarrow/organisations/organisation_table.h
+++ b/include/bronzebarrow/organisations/organisation_table.h
@@ -2,11 +2,11 @@
 #ifndef BRONZEBARROW_ORGANISATIONS_ORGANISATION_TABLE_H_
 #define BRONZEBARROW_ORGANISATIONS_ORGANISATION_TABLE_H_
 
-#include <compare>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -45,7 +45,10 @@
   // organisation since that was removed; empty if no key is known.
   std::string m_key;
 
-  auto operator<=>(const Holder&) const = default;
+  bool operator<(const Holder& other) const {
+    return std::tie(m_organisation, m_key) <
+           std::tie(other.m_organisation, other.m_key);
+  }
 };
 
 /** Lookup takes constant time; keys are compared in constant time. */
--- a/tests/job_starts_test.cc
+++ b/tests/job_starts_test.cc
@@ -17,7 +17,8 @@
 constexpr std::uint64_t kSeeds = 20;
 // Longer than the leases of runners.
 constexpr Duration kLeasesEnd = Millis(9000);
-const jobs::QueueAddress kQueue = {"q.example", "/q/"};
+const jobs::QueueAddress queue_address = {FakeWorkGroup::kHost,
+                                          FakeWorkGroup::kPrefix};
 
 class JobStartsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobStartsTest);
@@ -166,7 +167,8 @@
     const jobs::WorkState& state = group.state(*leader);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::string(), group.violation());
     CPPUNIT_ASSERT_EQUAL_MESSAGE(at, std::string(), state.FindIndexError());
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(at, expected, state.WaitingCount(kQueue));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(at, expected,
+                                 state.WaitingCount(queue_address));
   }
 
   static void CompleteOnNewRunners(FakeWorkGroup& group, std::uint64_t seed) {
@@ -257,7 +259,7 @@
     });
     CPPUNIT_ASSERT(!IsAssigned(Run(kJob)));
     CPPUNIT_ASSERT(!IsStarted());
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kAddress));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(m_queue));
   }
 
   // Guards against an owner that ends before its record is in the log.
--- a/tests/owner_and_runners.h
+++ b/tests/owner_and_runners.h
@@ -31,7 +31,7 @@
   static constexpr std::uint64_t kBornMs = 1000;
   static constexpr std::uint32_t kRunnerCount = 3;
   static constexpr Duration kStep = Millis(20);
-  inline static const jobs::QueueAddress kAddress = {"q.example", "/q/"};
+  const jobs::QueueAddress m_queue = {"q.example", "/q/"};
 
   void setUp() override {
     m_now = Instant() + std::chrono::hours(1);
@@ -115,8 +115,8 @@
 
   void AcceptJob(jobs::JobId job, std::uint16_t tasks) {
     wire::AcceptJobT accept;
-    accept.host = kAddress.m_host;
-    accept.path_prefix = kAddress.m_path_prefix;
+    accept.host = m_queue.m_host;
+    accept.path_prefix = m_queue.m_path_prefix;
     accept.job = std::make_unique<wire::JobSpecT>();
     accept.job->id = jobs::JobIdText(job);
     accept.job->steps.push_back(std::make_unique<wire::StepSpecT>());
@@ -144,8 +144,8 @@
     put.config = std::make_unique<wire::FleetConfigT>();
     put.config->version = 1;
     auto queue = std::make_unique<wire::QueueSpecT>();
-    queue->host = kAddress.m_host;
-    queue->path_prefix = kAddress.m_path_prefix;
+    queue->host = m_queue.m_host;
+    queue->path_prefix = m_queue.m_path_prefix;
     queue->pool = "pool";
     queue->attempts = 3;
     put.config->queues.push_back(std::move(queue));
--- a/tests/route_changes_test.cc
+++ b/tests/route_changes_test.cc
@@ -21,7 +21,7 @@
 constexpr std::uint64_t kNowMs = 1'700'000'000'000;
 constexpr std::uint64_t kSeeds = 300;
 constexpr const char* kHost = "h.example";
-const std::vector<std::string> kPrefixes = {"/a/", "/b/", "/c/"};
+const std::vector<std::string> prefixes = {"/a/", "/b/", "/c/"};
 
 /** A queue of a configuration. */
 struct Row {
@@ -206,12 +206,12 @@
       std::map<JobId, std::string> active;  // Prefix of each job.
       JobId next_job = 1;
       for (int step = 0; step < 60; ++step) {
-        const std::string& prefix = kPrefixes[random() % kPrefixes.size()];
+        const std::string& prefix = prefixes[random() % prefixes.size()];
         switch (random() % 4) {
           case 0: {
             std::vector<Row> rows;
             in_force.clear();
-            for (const std::string& other : kPrefixes) {
+            for (const std::string& other : prefixes) {
               if (random() % 3 > 0) {
                 pools[other] = "pool-" + std::to_string(random() % 3);
                 in_force[other] = true;
@@ -368,8 +368,8 @@
 constexpr std::uint64_t kDirectedSeeds = 10;
 constexpr const char* kOtherPool = "other";
 
-const FakeRoute kFirst = {"first", "/a/", FakeWorkGroup::kPool};
-const FakeRoute kSecond = {"second", "/b/", kOtherPool};
+const FakeRoute first_route = {"first", "/a/", FakeWorkGroup::kPool};
+const FakeRoute second_route = {"second", "/b/", kOtherPool};
 
 std::uint64_t EnvironmentOr(const char* name, std::uint64_t default_value) {
   const char* const text = std::getenv(name);
@@ -390,22 +390,24 @@
 
  public:
   void JobsEndWhereTheyBeganWhenNamesChangePlaces() {
-    Play({{{"second", kFirst.m_prefix, kFirst.m_pool},
-           {"first", kSecond.m_prefix, kSecond.m_pool}}},
+    Play({{{"second", first_route.m_prefix, first_route.m_pool},
+           {"first", second_route.m_prefix, second_route.m_pool}}},
          false);
   }
 
-  void JobsEndWhileTheirRouteIsAway() { Play({{kFirst}}, false); }
+  void JobsEndWhileTheirRouteIsAway() { Play({{first_route}}, false); }
 
   void JobsEndWhenTheirNameIsReused() {
-    Play({{kFirst}, {kFirst, {"second", "/c/", FakeWorkGroup::kPool}}}, false);
+    Play(
+        {{first_route}, {first_route, {"second", "/c/", FakeWorkGroup::kPool}}},
+        false);
   }
 
   void JobsEndAfterSeveralVersionsAndANewLeader() {
-    Play({{kFirst},
-          {kFirst, {"fourth", "/d/", FakeWorkGroup::kPool}},
-          {kFirst},
-          {kFirst, {"third", kSecond.m_prefix, kSecond.m_pool}}},
+    Play({{first_route},
+          {first_route, {"fourth", "/d/", FakeWorkGroup::kPool}},
+          {first_route},
+          {first_route, {"third", second_route.m_prefix, second_route.m_pool}}},
          true);
   }
 
@@ -413,11 +415,11 @@
   void JobsOfACancelledKindLeaveNothing() {
     FakeWorkGroup group(kMembers, kRunners, 1);
     Begin(group);
-    group.Submit(kSecond.m_prefix);
+    group.Submit(second_route.m_prefix);
     group.Advance(Millis(200));
     group.CancelSome();
     group.Advance(Millis(200));
-    Configure(group, {kFirst});
+    Configure(group, {first_route});
     group.Advance(Millis(500));
     const jobs::WorkState& state = group.state(*group.Leader());
     CPPUNIT_ASSERT(!group.cancelled().empty());
@@ -466,7 +468,7 @@
       FakeWorkGroup group(kMembers, kRunners, seed);
       Begin(group);
       for (int i = 0; i < 8; ++i) {
-        group.Submit(i % 2 == 0 ? kFirst.m_prefix : kSecond.m_prefix);
+        group.Submit(i % 2 == 0 ? first_route.m_prefix : second_route.m_prefix);
       }
       group.Advance(Millis(100));
       for (const auto& routes : series) {
@@ -491,11 +493,12 @@
 
   static void Begin(FakeWorkGroup& group) {
     for (std::size_t runner = 0; runner < kRunners; ++runner) {
-      group.SetPool(runner, runner % 2 == 0 ? kFirst.m_pool : kSecond.m_pool);
+      group.SetPool(runner,
+                    runner % 2 == 0 ? first_route.m_pool : second_route.m_pool);
     }
     group.HealAll();
     group.faults().m_run_fails = 0;
-    Configure(group, {kFirst, kSecond});
+    Configure(group, {first_route, second_route});
     group.Advance(Millis(5000));
   }
 
@@ -517,8 +520,8 @@
         // The third prefix changes its pool as well.
         const bool is_first =
             prefix[1] == 'a' || (prefix[1] == 'c' && random() % 2 == 0);
-        routes.push_back(
-            {names.back(), prefix, is_first ? kFirst.m_pool : kSecond.m_pool});
+        routes.push_back({names.back(), prefix,
+                          is_first ? first_route.m_pool : second_route.m_pool});
         names.pop_back();
       }
     }
--- a/tests/work_state_test.cc
+++ b/tests/work_state_test.cc
@@ -13,7 +13,7 @@
 
 constexpr std::uint64_t kNowMs = 1'700'000'000'000;
 constexpr std::uint64_t kSeeds = 300;
-const QueueAddress kShort = {"h.example", "/q/"};
+const QueueAddress short_queue = {"h.example", "/q/"};
 
 class WorkStateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkStateTest);
@@ -126,14 +126,14 @@
     AcceptJob(1, {1});
     AssignRuns("r", {MakeRun(1, 0, 0, 1)});
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Queued);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kShort));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(short_queue));
     RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0);
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Queued);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kShort));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(short_queue));
     wire::CancelJobT cancel;
     cancel.job = 1;
     Apply(cancel);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount(kShort));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount(short_queue));
   }
 
   void ListedEndIsAStart() {
@@ -147,7 +147,7 @@
                                    how != wire::EndKind::Lost,
                                    m_state->FindJob(id)->m_started);
     }
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(kShort));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_state->WaitingCount(short_queue));
     CPPUNIT_ASSERT_EQUAL(std::string(), m_state->FindIndexError());
   }
 
@@ -169,7 +169,7 @@
     WorkState copy;
     CPPUNIT_ASSERT(copy.Load(m_state->Image()));
     CPPUNIT_ASSERT(copy.FindJob(1)->m_started);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, copy.WaitingCount(kShort));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, copy.WaitingCount(short_queue));
   }
 
   // Guards against jobs that wait again after an update, because the log of an
@@ -179,7 +179,7 @@
     AssignRuns("r", {MakeRun(1, 0, 0, 1)});
     RecordEnd("r", MakeRun(1, 0, 0, 1), wire::EndKind::Lost, 0);
     CPPUNIT_ASSERT(Phase(1) == wire::JobPhase::Running);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount(kShort));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_state->WaitingCount(short_queue));
   }
 
   void EndOfOlderRunIsIgnored() {
@@ -832,8 +832,8 @@
   void AcceptPeriodicJob(JobId id, std::uint32_t times) {
     wire::AcceptJobT accept;
     accept.queue = "short";
-    accept.host = kShort.m_host;
-    accept.path_prefix = kShort.m_path_prefix;
+    accept.host = short_queue.m_host;
+    accept.path_prefix = short_queue.m_path_prefix;
     accept.job = std::make_unique<wire::JobSpecT>();
     accept.job->id = JobIdText(id);
     accept.job->times = times;
@@ -887,8 +887,8 @@
                                   const std::vector<std::uint32_t>& widths) {
     wire::AcceptJobT accept;
     accept.queue = "short";
-    accept.host = kShort.m_host;
-    accept.path_prefix = kShort.m_path_prefix;
+    accept.host = short_queue.m_host;
+    accept.path_prefix = short_queue.m_path_prefix;
     accept.job = std::make_unique<wire::JobSpecT>();
     accept.job->id = JobIdText(id);
     for (std::size_t i = 0; i < widths.size(); ++i) {
